Lay out the modules and agree on their interfaces

Cause: the issues run side by side and need shared interfaces before they start. Change: parent and module poms with formatter and linter, value types, sealed results, scheduling events and decisions, the log interface, the HTTP contract. Conclusion: every module compiles against model alone or the interfaces above it.

--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Seeded benches.
+ */
+package io.verbenatrack.bench;
--- /dev/null
+++ b/cli/src/main/java/io/verbenatrack/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line.
+ */
+package io.verbenatrack.cli;
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/Proposal.java
@@ -0,0 +1,38 @@
+package io.verbenatrack.control;
+
+import java.util.Optional;
+
+import io.verbenatrack.model.InstanceId;
+
+/**
+ * How a proposal ended.
+ */
+public sealed interface Proposal {
+
+	/**
+	 * A quorum holds it on disk and it was applied.
+	 *
+	 * @param index its place in the log
+	 * @param result what the state machine returned
+	 */
+	record Committed(long index, byte[] result) implements Proposal {
+
+	}
+
+	/**
+	 * It was not added to the log and never will be.
+	 *
+	 * @param leader who may take it, if known
+	 */
+	record NotLeader(Optional<InstanceId> leader) implements Proposal {
+
+	}
+
+	/**
+	 * It was added here, but leadership was lost before it was committed.
+	 */
+	record Unknown() implements Proposal {
+
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The replicated log of control commands.
+ */
+package io.verbenatrack.control;
--- /dev/null
+++ b/model/src/main/java/io/verbenatrack/model/AttemptId.java
@@ -0,0 +1,24 @@
+package io.verbenatrack.model;
+
+/**
+ * Names one dispatch of a request.
+ *
+ * @param value the identifier as callers write it, see {@link Identifiers}
+ */
+public record AttemptId(String value) implements Comparable<AttemptId> {
+
+	public AttemptId {
+		Identifiers.requireValid("attempt", value);
+	}
+
+	@Override
+	public int compareTo(AttemptId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/verbenatrack/model/JobId.java
@@ -0,0 +1,24 @@
+package io.verbenatrack.model;
+
+/**
+ * Names a job.
+ *
+ * @param value the identifier as callers write it, see {@link Identifiers}
+ */
+public record JobId(String value) implements Comparable<JobId> {
+
+	public JobId {
+		Identifiers.requireValid("job", value);
+	}
+
+	@Override
+	public int compareTo(JobId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/verbenatrack/model/RackId.java
@@ -0,0 +1,24 @@
+package io.verbenatrack.model;
+
+/**
+ * Names a rack.
+ *
+ * @param value the identifier as callers write it, see {@link Identifiers}
+ */
+public record RackId(String value) implements Comparable<RackId> {
+
+	public RackId {
+		Identifiers.requireValid("rack", value);
+	}
+
+	@Override
+	public int compareTo(RackId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/verbenatrack/model/RegionId.java
@@ -0,0 +1,24 @@
+package io.verbenatrack.model;
+
+/**
+ * Names a region.
+ *
+ * @param value the identifier as callers write it, see {@link Identifiers}
+ */
+public record RegionId(String value) implements Comparable<RegionId> {
+
+	public RegionId {
+		Identifiers.requireValid("region", value);
+	}
+
+	@Override
+	public int compareTo(RegionId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/verbenatrack/model/ServiceId.java
@@ -0,0 +1,24 @@
+package io.verbenatrack.model;
+
+/**
+ * Names a service.
+ *
+ * @param value the identifier as callers write it, see {@link Identifiers}
+ */
+public record ServiceId(String value) implements Comparable<ServiceId> {
+
+	public ServiceId {
+		Identifiers.requireValid("service", value);
+	}
+
+	@Override
+	public int compareTo(ServiceId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/verbenatrack/model/WorkerSpec.java
@@ -0,0 +1,24 @@
+package io.verbenatrack.model;
+
+/**
+ * What a worker announces of itself.
+ *
+ * @param id the worker
+ * @param zone its availability zone
+ * @param rack its rack
+ * @param positionInRack its place in the rack, from 0; neighbours differ by 1
+ * @param cores its processor cores
+ * @param memoryGib its memory in GiB
+ * @param accelerators its accelerators, numbered from 0; neighbours differ by 1
+ */
+public record WorkerSpec(WorkerId id, ZoneId zone, RackId rack, int positionInRack, int cores, int memoryGib,
+		int accelerators) {
+
+	public WorkerSpec {
+		if (positionInRack < 0 || cores < 0 || memoryGib < 0 || accelerators < 0) {
+			throw new IllegalArgumentException("Worker " + id
+					+ " announced a negative size. Correct its position, cores, memory or accelerators.");
+		}
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/verbenatrack/model/ZoneId.java
@@ -0,0 +1,24 @@
+package io.verbenatrack.model;
+
+/**
+ * Names an availability zone.
+ *
+ * @param value the identifier as callers write it, see {@link Identifiers}
+ */
+public record ZoneId(String value) implements Comparable<ZoneId> {
+
+	public ZoneId {
+		Identifiers.requireValid("availability zone", value);
+	}
+
+	@Override
+	public int compareTo(ZoneId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/verbenatrack/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Value types, shapes, sealed results and declarations.
+ */
+package io.verbenatrack.model;
--- /dev/null
+++ b/routing/src/main/java/io/verbenatrack/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The interface of the decisions on requests.
+ */
+package io.verbenatrack.routing;
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The interface of the decisions on jobs.
+ */
+package io.verbenatrack.scheduling;
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The daemon of an instance.
+ */
+package io.verbenatrack.server;
--- /dev/null
+++ b/standin/src/main/java/io/verbenatrack/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in workers and targets.
+ */
+package io.verbenatrack.standin;
--- /dev/null
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Log events, metrics and traces.
+ */
+package io.verbenatrack.telemetry;
