Encode records as CBOR and JSON by one codec

Cause: log commands, calls between instances and the HTTP API carry the same records. Change: RecordCodec over Jackson writes identifiers as text and sealed types by record name. Conclusion: no hand-written codec is needed.

--- /dev/null
+++ b/state/src/main/java/io/verbenatrack/state/RecordCodec.java
@@ -0,0 +1,150 @@
+package io.verbenatrack.state;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.JsonValue;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
+
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.AttemptId;
+import io.verbenatrack.model.ChangeId;
+import io.verbenatrack.model.ExceptionDeclaration;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.JobOutcome;
+import io.verbenatrack.model.RackId;
+import io.verbenatrack.model.RegionId;
+import io.verbenatrack.model.RequestId;
+import io.verbenatrack.model.ServiceId;
+import io.verbenatrack.model.TargetId;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.model.ZoneId;
+import io.verbenatrack.scheduling.SchedulingDecision;
+
+/**
+ * Turns records into bytes and back.
+ *
+ * <p>
+ * Sealed types carry the simple name of the record, so a reader that does not know a
+ * newer record fails and names it.
+ */
+public final class RecordCodec {
+
+	private static final List<Class<?>> IDENTIFIERS = List.of(AccountId.class, AttemptId.class, ChangeId.class,
+			InstanceId.class, JobId.class, RackId.class, RegionId.class, RequestId.class, ServiceId.class,
+			TargetId.class, WorkerId.class, ZoneId.class);
+
+	private final ObjectMapper mapper;
+
+	private RecordCodec(ObjectMapper mapper) {
+		this.mapper = mapper;
+	}
+
+	/**
+	 * A codec for the log and for calls between instances.
+	 * @param sealedTypes further sealed types to encode by the name of their record
+	 * @return a codec that writes CBOR (RFC 8949)
+	 */
+	public static RecordCodec cbor(Class<?>... sealedTypes) {
+		return new RecordCodec(prepare(CBORMapper.builder().build(), sealedTypes));
+	}
+
+	/**
+	 * A codec for people and for the HTTP API.
+	 * @param sealedTypes further sealed types to encode by the name of their record
+	 * @return a codec that writes JSON
+	 */
+	public static RecordCodec json(Class<?>... sealedTypes) {
+		return new RecordCodec(prepare(JsonMapper.builder().build(), sealedTypes));
+	}
+
+	private static ObjectMapper prepare(ObjectMapper mapper, Class<?>... sealedTypes) {
+		mapper.registerModule(new JavaTimeModule());
+		mapper.registerModule(new Jdk8Module());
+		mapper.disable(SerializationFeature.WRITE_DATES_AS_TIMESTAMPS);
+		mapper.disable(SerializationFeature.WRITE_DURATIONS_AS_TIMESTAMPS);
+		IDENTIFIERS.forEach((type) -> mapper.addMixIn(type, IdentifierFormat.class));
+		registerSealed(mapper, SchedulingDecision.class);
+		registerSealed(mapper, JobOutcome.class);
+		registerSealed(mapper, ExceptionDeclaration.Scope.class);
+		for (Class<?> type : sealedTypes) {
+			registerSealed(mapper, type);
+		}
+		return mapper;
+	}
+
+	private static void registerSealed(ObjectMapper mapper, Class<?> type) {
+		mapper.addMixIn(type, SealedFormat.class);
+		for (Class<?> permitted : type.getPermittedSubclasses()) {
+			mapper.registerSubtypes(new NamedType(permitted, permitted.getSimpleName()));
+		}
+	}
+
+	/**
+	 * Encodes a record.
+	 * @param value the record
+	 * @return its bytes
+	 */
+	public byte[] encode(Object value) {
+		try {
+			return this.mapper.writeValueAsBytes(value);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Decodes a record.
+	 * @param <T> the type of the record
+	 * @param bytes what {@link #encode} wrote
+	 * @param type the type of the record
+	 * @return the record
+	 * @throws UncheckedIOException when the bytes are not such a record
+	 */
+	public <T> T decode(byte[] bytes, Class<T> type) {
+		try {
+			return this.mapper.readValue(bytes, type);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * The mapper behind this codec.
+	 * @return the mapper, not to be reconfigured
+	 */
+	public ObjectMapper mapper() {
+		return this.mapper;
+	}
+
+	/** Writes an identifier as its text. */
+	private abstract static class IdentifierFormat {
+
+		@JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+		IdentifierFormat(String value) {
+		}
+
+		@JsonValue
+		abstract String value();
+
+	}
+
+	/** Writes the name of the record beside its components. */
+	@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+	private interface SealedFormat {
+
+	}
+
+}
