Read instance settings strictly

Cause: every module needs settings, and an operator's slip must be told with file, line, key and remedy.

--- /dev/null
+++ b/settings/src/main/java/io/verbenatrack/settings/AddressesDiffer.java
@@ -0,0 +1,19 @@
+package io.verbenatrack.settings;
+
+import java.util.Optional;
+
+/**
+ * The HTTP and gRPC listeners of an instance have different addresses.
+ */
+record AddressesDiffer() implements SettingsRule {
+
+	@Override
+	public Optional<Violation> violation(InstanceSettings settings) {
+		if (!settings.http().overlaps(settings.grpc())) {
+			return Optional.empty();
+		}
+		return Optional.of(new Violation("grpc", "has '" + settings.grpc() + "', as has http.",
+				"Give each listener its own port."));
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/verbenatrack/settings/EditDistance.java
@@ -0,0 +1,59 @@
+package io.verbenatrack.settings;
+
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+/**
+ * Finds the known word nearest to a misspelt one.
+ *
+ * <p>
+ * The distance is that of Levenshtein, "Binary codes capable of correcting deletions,
+ * insertions, and reversals" (1966), computed row by row.
+ */
+public final class EditDistance {
+
+	private static final int MAXIMUM_WORD_LENGTH = 64;
+
+	private EditDistance() {
+	}
+
+	/**
+	 * Finds the nearest known word.
+	 * @param word the word as found
+	 * @param known the words to choose from
+	 * @return the nearest, if it is less than half of the word away
+	 */
+	public static Optional<String> nearest(String word, Collection<String> known) {
+		if (word.length() > MAXIMUM_WORD_LENGTH) {
+			return Optional.empty();
+		}
+		return known.stream()
+			.min(Comparator.<String>comparingInt((candidate) -> between(word, candidate))
+				.thenComparing(Comparator.naturalOrder()))
+			.filter((candidate) -> between(word, candidate) * 2 < Math.max(word.length(), candidate.length()));
+	}
+
+	/**
+	 * Counts the single-character edits between two words.
+	 * @param left one word
+	 * @param right the other word
+	 * @return insertions, deletions and replacements
+	 */
+	static int between(String left, String right) {
+		int[] previous = new int[right.length() + 1];
+		Arrays.setAll(previous, (column) -> column);
+		for (int row = 1; row <= left.length(); row++) {
+			int[] current = new int[right.length() + 1];
+			current[0] = row;
+			for (int column = 1; column <= right.length(); column++) {
+				int replaced = previous[column - 1] + ((left.charAt(row - 1) != right.charAt(column - 1)) ? 1 : 0);
+				current[column] = Math.min(replaced, Math.min(previous[column], current[column - 1]) + 1);
+			}
+			previous = current;
+		}
+		return previous[right.length()];
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/verbenatrack/settings/InvalidDocumentException.java
@@ -0,0 +1,24 @@
+package io.verbenatrack.settings;
+
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+
+/**
+ * Ends the reading of a document; the readers turn it into a result.
+ */
+final class InvalidDocumentException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	private final transient Problem problem;
+
+	InvalidDocumentException(ProblemKind kind, String message, String remedy) {
+		super(message, null, false, false);
+		this.problem = new Problem(kind, message, remedy);
+	}
+
+	Problem problem() {
+		return this.problem;
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/verbenatrack/settings/RingIsPowerOfTwo.java
@@ -0,0 +1,20 @@
+package io.verbenatrack.settings;
+
+import java.util.Optional;
+
+/**
+ * The capacity of a ring is a power of two.
+ */
+record RingIsPowerOfTwo() implements SettingsRule {
+
+	@Override
+	public Optional<Violation> violation(InstanceSettings settings) {
+		int capacity = settings.limits().ringCapacity();
+		if (capacity > 1 && Integer.bitCount(capacity) == 1) {
+			return Optional.empty();
+		}
+		return Optional.of(new Violation("limits", "has a ring-capacity of " + capacity + ".",
+				"Give a power of two, such as 4096."));
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/verbenatrack/settings/SocketAddress.java
@@ -0,0 +1,49 @@
+package io.verbenatrack.settings;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * An IP number or host name with a port.
+ *
+ * @param host the IP number or host name
+ * @param port the port; 0 means any free one
+ */
+public record SocketAddress(String host, int port) {
+
+	/** What an address looks like, for messages. */
+	public static final String REMEDY = "Write an address and a port from 0 to 65535, such as 127.0.0.1:8080.";
+
+	private static final Pattern FORM = Pattern.compile("([A-Za-z0-9.-]{1,253}|\\[[0-9a-fA-F:.]{2,45}])[:](\\d{1,5})");
+
+	private static final int MAXIMUM_PORT = 65535;
+
+	/**
+	 * Reads an address.
+	 * @param text the text, such as 10.0.0.1:8080 or [::1]:8080
+	 * @return the address, or empty when the text is not one
+	 */
+	public static Optional<SocketAddress> parse(String text) {
+		Matcher matcher = FORM.matcher(text);
+		if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > MAXIMUM_PORT) {
+			return Optional.empty();
+		}
+		return Optional.of(new SocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2))));
+	}
+
+	/**
+	 * Whether two listeners cannot have both addresses.
+	 * @param other the other address
+	 * @return whether they are the same fixed address
+	 */
+	public boolean overlaps(SocketAddress other) {
+		return this.port != 0 && equals(other);
+	}
+
+	@Override
+	public String toString() {
+		return this.host + ":" + this.port;
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/verbenatrack/settings/Texts.java
@@ -0,0 +1,27 @@
+package io.verbenatrack.settings;
+
+/**
+ * Prepares text of unknown origin for messages.
+ */
+final class Texts {
+
+	private static final int MAXIMUM_SHOWN_CHARACTERS = 60;
+
+	private Texts() {
+	}
+
+	/**
+	 * Shortens a text and replaces control characters.
+	 * @param text the text
+	 * @return one printable line
+	 */
+	static String abbreviate(String text) {
+		String start = (text.length() <= MAXIMUM_SHOWN_CHARACTERS) ? text
+				: text.substring(0, MAXIMUM_SHOWN_CHARACTERS) + "...";
+		StringBuilder printable = new StringBuilder(start.length());
+		start.chars()
+			.forEach((character) -> printable.append(Character.isISOControl(character) ? ' ' : (char) character));
+		return printable.toString();
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/verbenatrack/settings/TimeoutsNest.java
@@ -0,0 +1,20 @@
+package io.verbenatrack.settings;
+
+import java.util.Optional;
+
+/**
+ * The default timeout of a request is no longer than its maximum.
+ */
+record TimeoutsNest() implements SettingsRule {
+
+	@Override
+	public Optional<Violation> violation(InstanceSettings settings) {
+		TimeoutSettings timeouts = settings.timeouts();
+		if (timeouts.requestDefault().compareTo(timeouts.requestMaximum()) <= 0) {
+			return Optional.empty();
+		}
+		return Optional.of(new Violation("timeouts", "has a request-default over request-maximum.",
+				"Lower request-default, or raise request-maximum."));
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/verbenatrack/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Strict reading of settings, declarations and work files.
+ */
+package io.verbenatrack.settings;
