--- a/scheduling/src/main/java/io/verbenatrack/scheduling/SchedulingDecision.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/SchedulingDecision.java
@@ -191,6 +191,39 @@
 
 	}
 
+	/**
+	 * The caller's cancellation is recorded; the job ends once its members have stopped.
+	 *
+	 * @param job the job
+	 * @param at when it was cancelled
+	 */
+	record CancelJob(JobId job, Instant at) implements SchedulingDecision {
+
+	}
+
+	/**
+	 * Later placements get higher tokens than this one.
+	 *
+	 * @param floor the highest token that may have been given before
+	 */
+	record RaiseTokenFloor(FencingToken floor) implements SchedulingDecision {
+
+	}
+
+	/**
+	 * One guaranteed gang of an account is held on these accelerators: work of other
+	 * accounts there borrows, and the account's own work there is within its guarantee.
+	 *
+	 * @param account the account
+	 * @param guarantee the index in the account's guarantees, from 0
+	 * @param gang which gang of that guarantee, from 0
+	 * @param region the accelerators, empty when the fleet has none for it now
+	 */
+	record BindGuarantee(AccountId account, int guarantee, int gang,
+			GangPlacement region) implements SchedulingDecision {
+
+	}
+
 	/**
 	 * A configuration applies from here on.
 	 *
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/SchedulingView.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/SchedulingView.java
@@ -34,10 +34,12 @@
 	 * @param token the lease, while it holds accelerators
 	 * @param placement the accelerators, while it holds some
 	 * @param reclaims how often it was stopped to make room
+	 * @param borrowed whether it holds accelerators beyond its account's guarantees, so
+	 * that it may be reclaimed
 	 * @param outcome the outcome, once there is one
 	 */
 	public record JobView(JobSpec job, String phase, String reason, Instant submittedAt, Optional<FencingToken> token,
-			Optional<GangPlacement> placement, int reclaims, Optional<JobOutcome> outcome) {
+			Optional<GangPlacement> placement, int reclaims, boolean borrowed, Optional<JobOutcome> outcome) {
 
 	}
 
@@ -60,9 +62,10 @@
 	 * @param missing those that the fleet cannot cover now
 	 * @param heldAccelerators accelerators its jobs hold
 	 * @param borrowedAccelerators those of them over its guarantees
+	 * @param regions the accelerators held for each guaranteed gang that the fleet covers
 	 */
 	public record AccountView(AccountId account, List<Guarantee> guaranteed, List<Guarantee> missing,
-			int heldAccelerators, int borrowedAccelerators) {
+			int heldAccelerators, int borrowedAccelerators, List<GangPlacement> regions) {
 
 	}
 
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/lifecycle/KeptProgress.java
@@ -0,0 +1,41 @@
+package io.verbenatrack.scheduling.lifecycle;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import io.verbenatrack.scheduling.state.GangLease;
+import io.verbenatrack.scheduling.state.GangMember;
+import io.verbenatrack.scheduling.state.JobRecord;
+
+/**
+ * Works out the run time that a gang need not repeat after it stops.
+ */
+final class KeptProgress {
+
+	private KeptProgress() {
+	}
+
+	/**
+	 * The run time that checkpoints cover for sure. When every member saved on request,
+	 * that is all up to the request; reports that lag may know of less.
+	 * @param job a job that holds accelerators
+	 * @return the run time
+	 */
+	static Duration of(JobRecord job) {
+		if (!job.spec().checkpointable()) {
+			return Duration.ZERO;
+		}
+		GangLease lease = job.lease().orElseThrow();
+		Optional<Instant> requested = lease.checkpointAt().filter((at) -> lease.all(GangMember::saved));
+		if (requested.isEmpty() || lease.startedAt().isEmpty()) {
+			return job.kept();
+		}
+		return max(job.kept(), job.keptBefore().plus(Duration.between(lease.startedAt().get(), requested.get())));
+	}
+
+	private static Duration max(Duration first, Duration second) {
+		return (first.compareTo(second) >= 0) ? first : second;
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/Admission.java
@@ -0,0 +1,95 @@
+package io.verbenatrack.scheduling.rules;
+
+import io.verbenatrack.model.GangShape;
+import io.verbenatrack.model.JobSpec;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.scheduling.state.FleetCapacity;
+import io.verbenatrack.scheduling.state.SchedulingState;
+
+/**
+ * Refuses jobs that can never run, and tells why a job that could run has to wait.
+ */
+public final class Admission {
+
+	private Admission() {
+	}
+
+	/**
+	 * Decides on a new job.
+	 * @param state the state before the job
+	 * @param capacity what the fleet could run
+	 * @param job the job
+	 * @return whether it is admitted
+	 */
+	public static Verdict decide(SchedulingState state, FleetCapacity capacity, JobSpec job) {
+		if (state.declarations().account(job.account()).isEmpty()) {
+			return new Refuse(new Problem(ProblemKind.INVALID, "No client account " + job.account() + " is declared.",
+					"Declare the account or submit for another one."));
+		}
+		return decideOnShape(capacity, job, state.fleet().workers().isEmpty());
+	}
+
+	private static Verdict decideOnShape(FleetCapacity capacity, JobSpec job, boolean fleetUnknown) {
+		if (fleetUnknown) {
+			return new AdmitWaiting("No worker has announced itself yet.");
+		}
+		int wanted = job.shape().accelerators();
+		int ever = capacity.largestEver(job.shape());
+		if (wanted > ever) {
+			return new Refuse(new Problem(ProblemKind.TOO_LARGE, tooLarge(job.shape()), remedy(job.shape(), ever)));
+		}
+		int now = capacity.largestNow(job.shape());
+		if (wanted > now) {
+			return new AdmitWaiting("Only workers that are lost, draining or quarantined fit " + wanted
+					+ " adjacent accelerators; the largest gang that fits now has " + now + ".");
+		}
+		return new Admit();
+	}
+
+	private static String tooLarge(GangShape shape) {
+		return "No rack has " + shape.accelerators() + " adjacent accelerators with " + shape.coresPerAccelerator()
+				+ " cores and " + shape.memoryGibPerAccelerator() + " GiB beside each.";
+	}
+
+	private static String remedy(GangShape shape, int largest) {
+		if (largest > 0) {
+			return "The largest gang with these cores and memory has " + largest + " accelerators: ask for that.";
+		}
+		return "No worker has " + shape.coresPerAccelerator() + " cores and " + shape.memoryGibPerAccelerator()
+				+ " GiB for even one accelerator: ask for less beside each.";
+	}
+
+	/**
+	 * What becomes of a new job.
+	 */
+	public sealed interface Verdict {
+
+	}
+
+	/**
+	 * The job is admitted.
+	 */
+	public record Admit() implements Verdict {
+
+	}
+
+	/**
+	 * The job is admitted and cannot start before the fleet changes.
+	 *
+	 * @param reason why, for the views
+	 */
+	public record AdmitWaiting(String reason) implements Verdict {
+
+	}
+
+	/**
+	 * The job can never run.
+	 *
+	 * @param problem why, and the largest shape that would fit
+	 */
+	public record Refuse(Problem problem) implements Verdict {
+
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/BadJob.java
@@ -0,0 +1,61 @@
+package io.verbenatrack.scheduling.rules;
+
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.scheduling.state.FleetState;
+import io.verbenatrack.scheduling.state.JobRecord;
+import io.verbenatrack.scheduling.state.WorkerRecord;
+
+/**
+ * Refuses a job for good once it failed on several workers that run other jobs well.
+ */
+public final class BadJob {
+
+	/**
+	 * A job that failed this many times as often as it may fail on good workers is
+	 * refused even where no worker is proven good.
+	 */
+	static final int UNPROVEN_FACTOR = 4;
+
+	private BadJob() {
+	}
+
+	/**
+	 * Decides on a job that failed.
+	 * @param fleet the workers
+	 * @param job the job
+	 * @param refuseAfterWorkers failures on that many good workers refuse it
+	 * @return why it is refused, with its history, or empty to try again
+	 */
+	public static Optional<Problem> decide(FleetState fleet, JobRecord job, int refuseAfterWorkers) {
+		Set<WorkerId> good = new LinkedHashSet<>();
+		Set<WorkerId> all = new LinkedHashSet<>();
+		for (JobRecord.Failure failure : job.failures()) {
+			all.add(failure.worker());
+			if (fleet.worker(failure.worker()).filter((worker) -> isGood(worker, failure)).isPresent()) {
+				good.add(failure.worker());
+			}
+		}
+		boolean refused = good.size() >= refuseAfterWorkers
+				|| job.failures().size() >= UNPROVEN_FACTOR * refuseAfterWorkers;
+		return refused ? Optional.of(problem(job, all)) : Optional.empty();
+	}
+
+	private static boolean isGood(WorkerRecord worker, JobRecord.Failure failure) {
+		boolean finishedSince = worker.successes() > failure.successesBefore();
+		boolean finishedBefore = failure.successesBefore() > 0 && worker.failuresInARow() <= 1;
+		return worker.usable() && (finishedSince || finishedBefore);
+	}
+
+	private static Problem problem(JobRecord job, Set<WorkerId> workers) {
+		return new Problem(ProblemKind.INVALID,
+				"The job failed " + job.failures().size() + " times, on the workers " + workers + ".",
+				"Correct the job and submit it under a new id.");
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/Charts.java
@@ -0,0 +1,31 @@
+package io.verbenatrack.scheduling.state;
+
+import io.verbenatrack.model.StateChart;
+
+/**
+ * The state charts of scheduling, read from the files under {@code /charts}.
+ */
+final class Charts {
+
+	static final StateChart JOB = load("job");
+
+	static final StateChart MEMBER = load("member");
+
+	static final StateChart WORKER = load("worker");
+
+	static final StateChart LEASE = load("lease");
+
+	private Charts() {
+	}
+
+	private static StateChart load(String name) {
+		return StateChart.load(Charts.class, "/charts/" + name + ".yaml");
+	}
+
+	static String next(StateChart chart, String state, String event) {
+		return chart.next(state, event)
+			.orElseThrow(() -> new IllegalStateException("A " + chart.name() + " that is " + state + " cannot " + event
+					+ ". Replay the decisions in the order of the log."));
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/FleetState.java
@@ -0,0 +1,153 @@
+package io.verbenatrack.scheduling.state;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.verbenatrack.model.RackId;
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.model.WorkerSpec;
+
+/**
+ * The workers and racks.
+ */
+public final class FleetState {
+
+	private final Map<WorkerId, WorkerRecord> byId = new LinkedHashMap<>();
+
+	private final List<WorkerRecord> byIndex = new ArrayList<>();
+
+	private final Map<RackId, RackRecord> racks = new LinkedHashMap<>();
+
+	private final List<WorkerListener> listeners = new ArrayList<>();
+
+	/**
+	 * Calls a listener after each change from now on.
+	 * @param listener the listener
+	 */
+	public void addListener(WorkerListener listener) {
+		this.listeners.add(listener);
+	}
+
+	void admit(WorkerSpec spec) {
+		WorkerRecord worker = this.byId.get(spec.id());
+		if (worker == null) {
+			worker = new WorkerRecord(this.byIndex.size(), spec);
+			this.byId.put(spec.id(), worker);
+			this.byIndex.add(worker);
+		}
+		else {
+			this.racks.get(worker.spec().rack()).remove(worker);
+			worker.changePhase("announce");
+			worker.admit(spec);
+		}
+		this.racks.computeIfAbsent(spec.rack(), (id) -> new RackRecord(id, this.racks.size())).add(worker);
+		notifyOf(worker);
+	}
+
+	void lose(WorkerId id) {
+		WorkerRecord worker = existing(id);
+		worker.changePhase("lose");
+		worker.forgetJobs();
+		notifyOf(worker);
+	}
+
+	void drain(WorkerId id) {
+		WorkerRecord worker = existing(id);
+		worker.changePhase("drain");
+		notifyOf(worker);
+	}
+
+	void quarantine(WorkerId id, Instant until) {
+		WorkerRecord worker = existing(id);
+		worker.quarantine(until);
+		notifyOf(worker);
+	}
+
+	void release(WorkerId id) {
+		WorkerRecord worker = existing(id);
+		worker.changePhase("release");
+		notifyOf(worker);
+	}
+
+	void hold(JobRecord job, List<Slot> slots) {
+		for (Slot slot : slots) {
+			WorkerRecord worker = existing(slot.worker());
+			worker.hold(job, slot);
+			notifyOf(worker);
+		}
+	}
+
+	void release(JobRecord job, List<Slot> slots) {
+		for (Slot slot : slots) {
+			WorkerRecord worker = existing(slot.worker());
+			worker.release(job, slot);
+			notifyOf(worker);
+		}
+	}
+
+	private void notifyOf(WorkerRecord worker) {
+		for (WorkerListener listener : this.listeners) {
+			listener.workerChanged(worker);
+		}
+	}
+
+	WorkerRecord existing(WorkerId id) {
+		WorkerRecord worker = this.byId.get(id);
+		if (worker == null) {
+			throw new IllegalStateException(
+					"Worker " + id + " was never admitted. Replay the decisions in the order of the log.");
+		}
+		return worker;
+	}
+
+	/**
+	 * Finds a worker.
+	 * @param id the worker
+	 * @return its record, if it ever announced itself
+	 */
+	public Optional<WorkerRecord> worker(WorkerId id) {
+		return Optional.ofNullable(this.byId.get(id));
+	}
+
+	/**
+	 * The worker with an index.
+	 * @param index see {@link WorkerRecord#index()}
+	 * @return its record
+	 */
+	public WorkerRecord workerAt(int index) {
+		return this.byIndex.get(index);
+	}
+
+	/**
+	 * Every worker that ever announced itself.
+	 * @return the workers in order of their index
+	 */
+	public List<WorkerRecord> workers() {
+		return Collections.unmodifiableList(this.byIndex);
+	}
+
+	/**
+	 * Every rack.
+	 * @return the racks in order of their index
+	 */
+	public Collection<RackRecord> racks() {
+		return Collections.unmodifiableCollection(this.racks.values());
+	}
+
+	/**
+	 * The rack of a worker.
+	 * @param worker the worker
+	 * @return its rack
+	 */
+	public RackRecord rackOf(WorkerRecord worker) {
+		return this.racks.get(worker.spec().rack());
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/GangLease.java
@@ -0,0 +1,160 @@
+package io.verbenatrack.scheduling.state;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import io.verbenatrack.model.FencingToken;
+import io.verbenatrack.model.GangPlacement;
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.model.WorkerId;
+
+/**
+ * The hold of one gang on its accelerators, from placement to release.
+ */
+public final class GangLease {
+
+	private final FencingToken token;
+
+	private final GangPlacement placement;
+
+	private final Instant placedAt;
+
+	private final List<GangMember> members;
+
+	private String phase = Charts.LEASE.initialState();
+
+	private Instant changedAt;
+
+	private Instant startedAt;
+
+	private Instant checkpointAt;
+
+	GangLease(FencingToken token, GangPlacement placement, Instant placedAt) {
+		this.token = token;
+		this.placement = placement;
+		this.placedAt = placedAt;
+		this.changedAt = placedAt;
+		this.members = new ArrayList<>(placement.slots().size());
+		for (Slot slot : placement.slots()) {
+			this.members.add(new GangMember(slot));
+		}
+	}
+
+	void changePhase(String event, Instant at) {
+		this.phase = Charts.next(Charts.LEASE, this.phase, event);
+		this.changedAt = at;
+		if ("start".equals(event)) {
+			this.startedAt = at;
+		}
+	}
+
+	void checkpoint(Instant at) {
+		this.checkpointAt = at;
+		this.changedAt = at;
+	}
+
+	/**
+	 * The number that fences this lease.
+	 * @return the token
+	 */
+	public FencingToken token() {
+		return this.token;
+	}
+
+	/**
+	 * The accelerators held.
+	 * @return the placement
+	 */
+	public GangPlacement placement() {
+		return this.placement;
+	}
+
+	/**
+	 * The members in the order of the slots.
+	 * @return the members
+	 */
+	public List<GangMember> members() {
+		return this.members;
+	}
+
+	/**
+	 * The member on a worker.
+	 * @param worker the worker
+	 * @return the member, if the gang has one there
+	 */
+	public Optional<GangMember> member(WorkerId worker) {
+		for (GangMember member : this.members) {
+			if (member.slot().worker().equals(worker)) {
+				return Optional.of(member);
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * The state of the lease chart.
+	 * @return the state
+	 */
+	public String phase() {
+		return this.phase;
+	}
+
+	/**
+	 * When the accelerators were given.
+	 * @return the time
+	 */
+	public Instant placedAt() {
+		return this.placedAt;
+	}
+
+	/**
+	 * When the lease last changed, which its deadlines count from.
+	 * @return the time
+	 */
+	public Instant changedAt() {
+		return this.changedAt;
+	}
+
+	/**
+	 * When all members were told to start.
+	 * @return the time, if they were
+	 */
+	public Optional<Instant> startedAt() {
+		return Optional.ofNullable(this.startedAt);
+	}
+
+	/**
+	 * When the members were told to save their progress.
+	 * @return the time, if they were
+	 */
+	public Optional<Instant> checkpointAt() {
+		return Optional.ofNullable(this.checkpointAt);
+	}
+
+	/**
+	 * Whether every member passes a check.
+	 * @param check the check
+	 * @return whether all do
+	 */
+	public boolean all(Predicate<GangMember> check) {
+		for (GangMember member : this.members) {
+			if (!check.test(member)) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	/**
+	 * Whether some member is in a state.
+	 * @param state a state of the member chart
+	 * @return whether one is
+	 */
+	public boolean anyIs(String state) {
+		return !all((member) -> !state.equals(member.phase()));
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/GangMember.java
@@ -0,0 +1,67 @@
+package io.verbenatrack.scheduling.state;
+
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.scheduling.MemberReport;
+
+/**
+ * The part of a gang on one worker.
+ */
+public final class GangMember {
+
+	private final Slot slot;
+
+	private String phase = Charts.MEMBER.initialState();
+
+	private boolean saved;
+
+	GangMember(Slot slot) {
+		this.slot = slot;
+	}
+
+	/**
+	 * Whether a report means anything in the present state; a resent one does not.
+	 * @param report the report
+	 * @return whether the member chart has a transition for it
+	 */
+	public boolean accepts(MemberReport report) {
+		return Charts.MEMBER.next(this.phase, MemberEvents.of(report)).isPresent();
+	}
+
+	void changePhase(String event) {
+		this.phase = Charts.next(Charts.MEMBER, this.phase, event);
+		this.saved = this.saved || "checkpointed".equals(event);
+	}
+
+	/**
+	 * The accelerators of the member.
+	 * @return the slot
+	 */
+	public Slot slot() {
+		return this.slot;
+	}
+
+	/**
+	 * The state of the member chart.
+	 * @return the state
+	 */
+	public String phase() {
+		return this.phase;
+	}
+
+	/**
+	 * Whether the member runs no more.
+	 * @return whether its state is final
+	 */
+	public boolean ended() {
+		return Charts.MEMBER.isFinal(this.phase);
+	}
+
+	/**
+	 * Whether the member saved its progress under this lease.
+	 * @return whether it did
+	 */
+	public boolean saved() {
+		return this.saved;
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/JobTable.java
@@ -0,0 +1,112 @@
+package io.verbenatrack.scheduling.state;
+
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.JobSpec;
+
+/**
+ * All remembered jobs, with an index of those that wait and of those in transition.
+ */
+public final class JobTable {
+
+	private final Map<JobId, JobRecord> byId = new LinkedHashMap<>();
+
+	private final TreeMap<Long, JobRecord> waiting = new TreeMap<>();
+
+	private final TreeMap<Long, JobRecord> inTransition = new TreeMap<>();
+
+	private final TreeMap<Long, JobRecord> holding = new TreeMap<>();
+
+	private final RetainedOutcomes retained = new RetainedOutcomes();
+
+	private long sequence;
+
+	JobRecord accept(JobSpec spec, Instant at) {
+		this.sequence++;
+		JobRecord job = new JobRecord(spec, at, this.sequence);
+		this.byId.put(spec.id(), job);
+		reindex(job);
+		return job;
+	}
+
+	void reindex(JobRecord job) {
+		setPresent(this.waiting, job, job.waiting());
+		setPresent(this.holding, job, job.lease().isPresent());
+		setPresent(this.inTransition, job, job.lease().isPresent() && !job.running());
+	}
+
+	private static void setPresent(Map<Long, JobRecord> jobs, JobRecord job, boolean present) {
+		if (present) {
+			jobs.put(job.sequence(), job);
+		}
+		else {
+			jobs.remove(job.sequence());
+		}
+	}
+
+	void ended(JobRecord job) {
+		reindex(job);
+		JobId forgotten = this.retained.add(job.id());
+		if (forgotten != null) {
+			this.byId.remove(forgotten);
+		}
+	}
+
+	JobRecord existing(JobId id) {
+		JobRecord job = this.byId.get(id);
+		if (job == null) {
+			throw new IllegalStateException(
+					"Job " + id + " was never accepted. Replay the decisions in the order of the log.");
+		}
+		return job;
+	}
+
+	/**
+	 * Finds a job.
+	 * @param id the job
+	 * @return its record, while it is remembered
+	 */
+	public Optional<JobRecord> job(JobId id) {
+		return Optional.ofNullable(this.byId.get(id));
+	}
+
+	/**
+	 * Every remembered job.
+	 * @return the jobs in order of acceptance
+	 */
+	public Collection<JobRecord> all() {
+		return Collections.unmodifiableCollection(this.byId.values());
+	}
+
+	/**
+	 * The jobs that wait for accelerators.
+	 * @return the jobs in order of acceptance
+	 */
+	public Collection<JobRecord> waiting() {
+		return Collections.unmodifiableCollection(this.waiting.values());
+	}
+
+	/**
+	 * The jobs that hold accelerators.
+	 * @return the jobs in order of acceptance
+	 */
+	public Collection<JobRecord> holding() {
+		return Collections.unmodifiableCollection(this.holding.values());
+	}
+
+	/**
+	 * The jobs whose workers owe an answer: those that prepare, save or stop.
+	 * @return the jobs in order of acceptance
+	 */
+	public Collection<JobRecord> inTransition() {
+		return Collections.unmodifiableCollection(this.inTransition.values());
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/MemberEvents.java
@@ -0,0 +1,29 @@
+package io.verbenatrack.scheduling.state;
+
+import io.verbenatrack.scheduling.MemberReport;
+
+/**
+ * Names the events of the member chart.
+ */
+final class MemberEvents {
+
+	private MemberEvents() {
+	}
+
+	/**
+	 * The event of the member chart that a report means.
+	 * @param report the report
+	 * @return the event
+	 */
+	static String of(MemberReport report) {
+		return switch (report) {
+			case PREPARED -> "prepared";
+			case STARTED -> "started";
+			case FINISHED -> "finished";
+			case FAILED -> "failed";
+			case CHECKPOINTED -> "checkpointed";
+			case STOPPED -> "stopped";
+		};
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/SchedulingState.java
@@ -0,0 +1,224 @@
+package io.verbenatrack.scheduling.state;
+
+import java.time.Instant;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.Declarations;
+import io.verbenatrack.model.FencingToken;
+import io.verbenatrack.model.Guarantee;
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.JobOutcome;
+import io.verbenatrack.scheduling.MemberReport;
+import io.verbenatrack.scheduling.SchedulingDecision;
+
+/**
+ * Everything that decisions change; the same decisions in the same order give the same
+ * state.
+ */
+public final class SchedulingState {
+
+	private final FleetState fleet = new FleetState();
+
+	private final JobTable jobs = new JobTable();
+
+	private final GuaranteeRegions regions = new GuaranteeRegions();
+
+	private final Map<AccountId, List<Guarantee>> shortGuarantees = new TreeMap<>();
+
+	private Declarations declarations = Declarations.EMPTY;
+
+	private long highestToken;
+
+	/**
+	 * Applies one decision.
+	 * @param decision the decision
+	 */
+	public void apply(SchedulingDecision decision) {
+		switch (decision) {
+			case SchedulingDecision.AcceptJob accept -> this.jobs.accept(accept.job(), accept.at());
+			case SchedulingDecision.ExplainWait explain -> job(explain.job()).explain(explain.reason());
+			case SchedulingDecision.PlaceGang place -> place(place);
+			case SchedulingDecision.StartGang start -> start(start);
+			case SchedulingDecision.RecordMember record -> recordMember(record);
+			case SchedulingDecision.CheckpointGang checkpoint -> checkpoint(checkpoint);
+			case SchedulingDecision.StopGang stop -> stop(stop);
+			case SchedulingDecision.CancelJob cancel -> job(cancel.job()).cancel(cancel.at());
+			case SchedulingDecision.RequeueJob requeue -> requeue(requeue);
+			case SchedulingDecision.EndJob end -> end(job(end.job()), end.outcome());
+			case SchedulingDecision.RecordUsage usage -> recordUsage(usage);
+			case SchedulingDecision.AdmitWorker admit -> this.fleet.admit(admit.worker());
+			case SchedulingDecision.RemoveWorker remove -> remove(remove);
+			case SchedulingDecision.DrainWorker drain -> this.fleet.drain(drain.worker());
+			case SchedulingDecision.QuarantineWorker bad -> this.fleet.quarantine(bad.worker(), bad.until());
+			case SchedulingDecision.ReleaseWorker release -> this.fleet.release(release.worker());
+			case SchedulingDecision.ReportShortGuarantee report -> reportShort(report);
+			case SchedulingDecision.BindGuarantee bind -> this.regions.bind(bind);
+			case SchedulingDecision.AdoptDeclarations adopt -> this.declarations = adopt.declarations();
+			case SchedulingDecision.RaiseTokenFloor raise -> raiseToken(raise.floor());
+		}
+	}
+
+	private JobRecord job(JobId id) {
+		return this.jobs.existing(id);
+	}
+
+	private void place(SchedulingDecision.PlaceGang place) {
+		JobRecord job = job(place.job());
+		job.place(place.token(), place.placement(), place.at());
+		raiseToken(place.token());
+		this.fleet.hold(job, place.placement().slots());
+		this.jobs.reindex(job);
+	}
+
+	private void start(SchedulingDecision.StartGang start) {
+		JobRecord job = job(start.job());
+		job.changePhase("start");
+		lease(job).changePhase("start", start.at());
+		this.jobs.reindex(job);
+	}
+
+	private void recordMember(SchedulingDecision.RecordMember record) {
+		JobRecord job = job(record.job());
+		WorkerRecord worker = this.fleet.existing(record.worker());
+		lease(job).member(record.worker()).orElseThrow().changePhase(MemberEvents.of(record.report()));
+		if (record.report() == MemberReport.FAILED) {
+			job.recordFailure(new JobRecord.Failure(worker.id(), worker.successes()));
+			worker.recordFailure();
+		}
+		if (record.report() == MemberReport.FINISHED) {
+			worker.recordSuccess();
+		}
+	}
+
+	private void checkpoint(SchedulingDecision.CheckpointGang checkpoint) {
+		JobRecord job = job(checkpoint.job());
+		job.changePhase("checkpoint");
+		job.explain(checkpoint.reason());
+		job.countReclaim();
+		lease(job).checkpoint(checkpoint.at());
+		this.jobs.reindex(job);
+	}
+
+	private void stop(SchedulingDecision.StopGang stop) {
+		JobRecord job = job(stop.job());
+		job.changePhase("stop");
+		job.explain(stop.reason());
+		lease(job).changePhase("revoke", stop.at());
+		this.jobs.reindex(job);
+	}
+
+	private void requeue(SchedulingDecision.RequeueJob requeue) {
+		JobRecord job = job(requeue.job());
+		GangLease lease = lease(job);
+		lease.changePhase("release", requeue.at());
+		this.fleet.release(job, lease.placement().slots());
+		job.requeue(requeue.keptProgress(), requeue.at());
+		this.jobs.reindex(job);
+	}
+
+	private void end(JobRecord job, JobOutcome outcome) {
+		job.lease().ifPresent((lease) -> releaseEnded(job, lease, outcome.at()));
+		job.end(outcome);
+		this.jobs.ended(job);
+	}
+
+	private void releaseEnded(JobRecord job, GangLease lease, Instant at) {
+		lease.changePhase("release", at);
+		this.fleet.release(job, lease.placement().slots());
+	}
+
+	private void recordUsage(SchedulingDecision.RecordUsage usage) {
+		job(usage.job()).recordUsage(usage.progress(), usage.checkpointed());
+	}
+
+	private void remove(SchedulingDecision.RemoveWorker remove) {
+		for (JobRecord job : this.fleet.existing(remove.worker()).jobs()) {
+			lease(job).member(remove.worker())
+				.filter((member) -> !member.ended())
+				.ifPresent((member) -> member.changePhase("lost"));
+		}
+		this.fleet.lose(remove.worker());
+	}
+
+	private void reportShort(SchedulingDecision.ReportShortGuarantee report) {
+		if (report.missing().isEmpty()) {
+			this.shortGuarantees.remove(report.account());
+		}
+		else {
+			this.shortGuarantees.put(report.account(), List.copyOf(report.missing()));
+		}
+	}
+
+	private void raiseToken(FencingToken token) {
+		this.highestToken = Math.max(this.highestToken, token.value());
+	}
+
+	private static GangLease lease(JobRecord job) {
+		return job.lease()
+			.orElseThrow(() -> new IllegalStateException(
+					"Job " + job.id() + " holds nothing. Replay the decisions in the order of the log."));
+	}
+
+	/**
+	 * The token of the next placement.
+	 * @return a token above all that were given or reserved before
+	 */
+	public FencingToken nextToken() {
+		return new FencingToken(this.highestToken + 1);
+	}
+
+	/**
+	 * The workers and racks.
+	 * @return the fleet
+	 */
+	public FleetState fleet() {
+		return this.fleet;
+	}
+
+	/**
+	 * The jobs.
+	 * @return all that are remembered
+	 */
+	public JobTable jobs() {
+		return this.jobs;
+	}
+
+	/**
+	 * Where each guaranteed gang is held.
+	 * @return the regions
+	 */
+	public GuaranteeRegions regions() {
+		return this.regions;
+	}
+
+	/**
+	 * The configuration in force.
+	 * @return all of it
+	 */
+	public Declarations declarations() {
+		return this.declarations;
+	}
+
+	/**
+	 * The guarantees that the fleet cannot cover now.
+	 * @return the missing gangs of each account that is short
+	 */
+	public Map<AccountId, List<Guarantee>> shortGuarantees() {
+		return Collections.unmodifiableMap(this.shortGuarantees);
+	}
+
+	/**
+	 * The guarantees of one account that the fleet cannot cover now.
+	 * @param account the account
+	 * @return its missing gangs, empty when it is not short
+	 */
+	public Optional<List<Guarantee>> shortGuarantees(AccountId account) {
+		return Optional.ofNullable(this.shortGuarantees.get(account));
+	}
+
+}
