--- a/settings/src/main/java/io/verbenatrack/settings/EditDistance.java
+++ b/settings/src/main/java/io/verbenatrack/settings/EditDistance.java
@@ -9,8 +9,8 @@
  * Finds the known word nearest to a misspelt one.
  *
  * <p>
- * The distance is that of Levenshtein, "Binary codes capable of correcting deletions,
- * insertions, and reversals" (1966), computed row by row.
+ * The distance is that of Damerau, "A technique for computer detection and correction of
+ * spelling errors" (1964), restricted to swaps of neighbours and computed row by row.
  */
 public final class EditDistance {
 
@@ -39,9 +39,10 @@
 	 * Counts the single-character edits between two words.
 	 * @param left one word
 	 * @param right the other word
-	 * @return insertions, deletions and replacements
+	 * @return insertions, deletions, replacements and swaps of neighbours
 	 */
 	static int between(String left, String right) {
+		int[] beforePrevious = new int[right.length() + 1];
 		int[] previous = new int[right.length() + 1];
 		Arrays.setAll(previous, (column) -> column);
 		for (int row = 1; row <= left.length(); row++) {
@@ -50,10 +51,19 @@
 			for (int column = 1; column <= right.length(); column++) {
 				int replaced = previous[column - 1] + ((left.charAt(row - 1) != right.charAt(column - 1)) ? 1 : 0);
 				current[column] = Math.min(replaced, Math.min(previous[column], current[column - 1]) + 1);
+				if (swapped(left, right, row, column)) {
+					current[column] = Math.min(current[column], beforePrevious[column - 2] + 1);
+				}
 			}
+			beforePrevious = previous;
 			previous = current;
 		}
 		return previous[right.length()];
 	}
 
+	private static boolean swapped(String left, String right, int row, int column) {
+		return row > 1 && column > 1 && left.charAt(row - 1) == right.charAt(column - 2)
+				&& left.charAt(row - 2) == right.charAt(column - 1);
+	}
+
 }
