--- a/scheduling/src/main/java/io/verbenatrack/scheduling/Scheduler.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/Scheduler.java
@@ -2,6 +2,9 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
+
+import io.verbenatrack.model.JobId;
 
 /**
  * Decides on jobs; not safe for use by several threads.
@@ -33,4 +36,21 @@
 	 */
 	SchedulingView view();
 
+	/**
+	 * The decisions that recreate this state in a fresh scheduler.
+	 * @return the decisions in order
+	 */
+	default List<SchedulingDecision> replay() {
+		return ReplayDecisions.of(view());
+	}
+
+	/**
+	 * Finds one job.
+	 * @param id the job
+	 * @return what operators see of it, if it is known
+	 */
+	default Optional<SchedulingView.JobView> job(JobId id) {
+		return view().jobs().stream().filter((job) -> job.job().id().equals(id)).findFirst();
+	}
+
 }
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP API.
+ */
+package io.verbenatrack.server.http;
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/leader/WorkerLeases.java
@@ -0,0 +1,77 @@
+package io.verbenatrack.server.leader;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.verbenatrack.model.WorkerId;
+
+/**
+ * Remembers, on the leading replica, where workers listen and when their leases run out.
+ *
+ * <p>
+ * A worker counts its lease from when it sent the announcement, the leader from when it
+ * received it, so the worker always stops first. A new leader grants every known worker a
+ * whole lease, which outlasts any that the old leader granted.
+ */
+final class WorkerLeases {
+
+	private final Duration lease;
+
+	private final Duration margin;
+
+	private final Map<WorkerId, Entry> entries = new ConcurrentHashMap<>();
+
+	WorkerLeases(Duration lease, Duration margin) {
+		this.lease = lease;
+		this.margin = margin;
+	}
+
+	Duration lease() {
+		return this.lease;
+	}
+
+	void adopt(Collection<WorkerId> workers, long nowNanos) {
+		this.entries.clear();
+		workers.forEach((worker) -> this.entries.put(worker, new Entry("", "", nowNanos)));
+	}
+
+	/**
+	 * Renews a lease.
+	 * @param worker the worker
+	 * @param url where it listens
+	 * @param incarnation its incarnation
+	 * @param nowNanos the time
+	 * @return whether the worker lost what it ran since it was last heard
+	 */
+	boolean renew(WorkerId worker, String url, String incarnation, long nowNanos) {
+		Entry before = this.entries.put(worker, new Entry(url, incarnation, nowNanos));
+		return before != null && !before.incarnation.isEmpty() && !before.incarnation.equals(incarnation);
+	}
+
+	Optional<String> url(WorkerId worker) {
+		return Optional.ofNullable(this.entries.get(worker)).map(Entry::url).filter((url) -> !url.isEmpty());
+	}
+
+	List<WorkerId> removeExpired(long nowNanos) {
+		long limit = this.lease.plus(this.margin).toNanos();
+		List<WorkerId> expired = new ArrayList<>();
+		this.entries.forEach((worker, entry) -> {
+			if (nowNanos - entry.heardAtNanos > limit) {
+				expired.add(worker);
+			}
+		});
+		expired.forEach(this.entries::remove);
+		expired.sort(null);
+		return expired;
+	}
+
+	private record Entry(String url, String incarnation, long heardAtNanos) {
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/leader/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The duty of the leading replica: decide, replicate, dispatch.
+ */
+package io.verbenatrack.server.leader;
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls between instances.
+ */
+package io.verbenatrack.server.peer;
