Decide on requests in a pure router

Change: RequestRouter with claims, fair queues, slot shares with loans, outliers, retries, hedges and drain, its states moved by charts in YAML files. Conclusion: a claim may name an earlier attempt than the answer, so keepAnswer now takes both.

--- /dev/null
+++ b/routing/src/main/java/io/verbenatrack/routing/AdmissionFlow.java
@@ -0,0 +1,158 @@
+package io.verbenatrack.routing;
+
+import java.util.List;
+
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.routing.rules.EarlyRefusal;
+
+/**
+ * Admits, claims and queues requests.
+ */
+final class AdmissionFlow {
+
+	private static final long RECHECK_BASE_NANOS = 20_000_000;
+
+	private static final int RECHECK_DOUBLINGS = 4;
+
+	private final RouterContext context;
+
+	private final Settlement settlement;
+
+	AdmissionFlow(RouterContext context, Settlement settlement) {
+		this.context = context;
+		this.settlement = settlement;
+	}
+
+	void accept(RoutingEvent.Accepted event) {
+		Exchange exchange = new Exchange(event);
+		int open = this.context.exchanges().size();
+		this.context.exchanges().put(event.exchange(), exchange);
+		this.context.timers().schedule(Timers.Kind.DEADLINE, event.deadlineNanos(), event.exchange(), null);
+		if (open >= this.context.settings().maximumOpen()) {
+			refuseUnclaimed(exchange, Outcomes.tooMany(open));
+			return;
+		}
+		exchange.refuseWith(problemOf(exchange));
+		if (!exchange.idempotent() && !(exchange.isKnownFirst() && exchange.refusal() != null)) {
+			claim(exchange);
+		}
+		else if (exchange.refusal() != null) {
+			refuseUnclaimed(exchange, exchange.refusal());
+		}
+		else {
+			enqueue(exchange, "admitted");
+		}
+	}
+
+	private Problem problemOf(Exchange exchange) {
+		if (this.context.draining()) {
+			return Outcomes.shuttingDown();
+		}
+		ServiceQueue queue = this.context.queue(exchange);
+		List<TargetPool.Candidate> eligible = this.context.pool().eligible(queue.service(), this.context.now());
+		if (eligible.isEmpty()) {
+			return Outcomes.noTarget(exchange);
+		}
+		int slots = eligible.stream().mapToInt(TargetPool.Candidate::capacity).sum();
+		long wait = queue.expectedWaitNanos(exchange, slots);
+		boolean refuses = EarlyRefusal.refuses(wait, this.context.settings().maximumQueueWait().toNanos(),
+				exchange.remainingNanos(this.context.now()), queue.times().meanNanos());
+		return refuses ? Outcomes.longQueue(wait) : null;
+	}
+
+	// Without a claim nobody knows whether an earlier send of the same request ran.
+	private void refuseUnclaimed(Exchange exchange, Problem problem) {
+		boolean knownFirst = exchange.idempotent() || exchange.isKnownFirst();
+		this.settlement.tell(exchange, knownFirst ? Outcomes.notRun(problem) : Outcomes.unknown(exchange,
+				"This send was not dispatched (" + problem.message() + "), and an earlier one may have run."));
+	}
+
+	private void claim(Exchange exchange) {
+		if (!exchange.move("claim-requested")) {
+			return;
+		}
+		if (exchange.claimed() == null) {
+			exchange.claimFor(this.context.nextAttempt());
+		}
+		exchange.storeStepBegan();
+		this.context.decide(new RoutingDecision.Claim(exchange.id(), exchange.request(), exchange.accepted().body(),
+				exchange.claimed()));
+	}
+
+	void recheck(Exchange exchange) {
+		if (exchange.is("waiting")) {
+			claim(exchange);
+		}
+	}
+
+	void claimSettled(Exchange exchange, ClaimResult result) {
+		exchange.storeStepEnded();
+		boolean own = result instanceof ClaimResult.AlreadyRunning running
+				&& running.attempt().equals(exchange.claimed());
+		ClaimResult settled = own ? new ClaimResult.Granted() : result;
+		if (!exchange.is("claiming")) {
+			releaseUnused(exchange, settled);
+			return;
+		}
+		switch (settled) {
+			case ClaimResult.Granted granted -> granted(exchange);
+			case ClaimResult.AlreadyRunning running -> await(exchange);
+			case ClaimResult.Kept kept -> this.settlement.tell(exchange, Outcomes.kept(exchange, kept.answer()));
+			case ClaimResult.DifferentRequest different ->
+				this.settlement.refuse(exchange, Outcomes.differentRequest());
+			case ClaimResult.Unavailable unavailable -> refuseUnclaimed(exchange, unavailable.problem());
+			case ClaimResult.Unknown unknown -> claimInDoubt(exchange, unknown.problem());
+		}
+	}
+
+	private void releaseUnused(Exchange exchange, ClaimResult result) {
+		if (result instanceof ClaimResult.Granted || result instanceof ClaimResult.Unknown) {
+			this.settlement.release(exchange);
+		}
+		this.settlement.forgetIfOver(exchange);
+	}
+
+	private void granted(Exchange exchange) {
+		exchange.holdClaim(true);
+		if (exchange.waited()) {
+			this.settlement.releaseThenTell(exchange, Outcomes.notRun(Outcomes.earlierSendRefused()));
+		}
+		else if (exchange.callerGone()) {
+			this.settlement.releaseThenTell(exchange, Outcomes.notRun(Outcomes.notDispatched("the caller left")));
+		}
+		else if (exchange.refusal() != null) {
+			this.settlement.releaseThenTell(exchange, Outcomes.notRun(exchange.refusal()));
+		}
+		else {
+			enqueue(exchange, "claim-granted");
+		}
+	}
+
+	private void await(Exchange exchange) {
+		if (exchange.callerGone()) {
+			this.settlement.tell(exchange, Outcomes.unknown(exchange, "An earlier send of it is running."));
+			return;
+		}
+		exchange.move("claim-held");
+		long delay = RECHECK_BASE_NANOS << Math.min(RECHECK_DOUBLINGS, exchange.nextRecheck());
+		this.context.timers().schedule(Timers.Kind.RECHECK, this.context.now() + delay, exchange.id(), null);
+	}
+
+	private void claimInDoubt(Exchange exchange, Problem problem) {
+		exchange.holdClaim(true);
+		this.settlement.releaseThenTell(exchange, Outcomes.unknown(exchange,
+				"This send was not dispatched (" + problem.message() + "), and an earlier one may have run."));
+	}
+
+	void enqueue(Exchange exchange, String event) {
+		if (exchange.move(event)) {
+			this.context.queue(exchange).add(exchange);
+		}
+	}
+
+	void giveUp(Exchange exchange, String cause) {
+		this.context.queue(exchange).remove(exchange);
+		this.settlement.withoutAnswer(exchange, Outcomes.notDispatched(cause));
+	}
+
+}
--- /dev/null
+++ b/routing/src/main/java/io/verbenatrack/routing/Attempt.java
@@ -0,0 +1,88 @@
+package io.verbenatrack.routing;
+
+import java.util.Optional;
+
+import io.verbenatrack.model.AttemptId;
+import io.verbenatrack.model.StateChart;
+
+/**
+ * One dispatch while it runs.
+ */
+final class Attempt {
+
+	static final StateChart CHART = StateChart.load(Attempt.class, "/charts/attempt.yaml");
+
+	private final AttemptId id;
+
+	private final Exchange exchange;
+
+	private final TargetState target;
+
+	private final long beganNanos;
+
+	private String state = CHART.initialState();
+
+	Attempt(AttemptId id, Exchange exchange, TargetState target, long beganNanos) {
+		this.id = id;
+		this.exchange = exchange;
+		this.target = target;
+		this.beganNanos = beganNanos;
+	}
+
+	AttemptId id() {
+		return this.id;
+	}
+
+	Exchange exchange() {
+		return this.exchange;
+	}
+
+	TargetState target() {
+		return this.target;
+	}
+
+	long beganNanos() {
+		return this.beganNanos;
+	}
+
+	boolean isBegun() {
+		return !this.state.equals(CHART.initialState());
+	}
+
+	boolean advance(AttemptStep step) {
+		return move(step.event());
+	}
+
+	/**
+	 * Ends the dispatch. A result that its steps do not allow counts as lost.
+	 * @param result what the carriage reports
+	 * @return what it counts as
+	 */
+	AttemptResult end(AttemptResult result) {
+		if (move(event(result))) {
+			return result;
+		}
+		move("lost");
+		return new AttemptResult.Lost(LossCause.GARBAGE);
+	}
+
+	private static String event(AttemptResult result) {
+		return switch (result) {
+			case AttemptResult.Answered answered -> "answered";
+			case AttemptResult.NotBegun notBegun -> "refused";
+			case AttemptResult.NotSent notSent -> "not-sent";
+			case AttemptResult.Lost lost -> "lost";
+		};
+	}
+
+	void acknowledge() {
+		move("acknowledged");
+	}
+
+	private boolean move(String event) {
+		Optional<String> next = CHART.next(this.state, event);
+		next.ifPresent((state) -> this.state = state);
+		return next.isPresent();
+	}
+
+}
--- a/routing/src/main/java/io/verbenatrack/routing/ClaimStore.java
+++ b/routing/src/main/java/io/verbenatrack/routing/ClaimStore.java
@@ -24,12 +24,14 @@
 	CompletableFuture<ClaimResult> claim(RequestSpec request, BodyDigest body, AttemptId attempt);
 
 	/**
-	 * Keeps the answer of a claimed request. A second answer changes nothing.
+	 * Keeps the answer of a claimed request. A second answer changes nothing. The answer
+	 * may name a later attempt than the claim, when the claimed one provably never began.
 	 * @param request the request
-	 * @param answer the answer, which names the claimed attempt
+	 * @param claimed the dispatch that the claim was for
+	 * @param answer the answer
 	 * @return whether the answer is durable
 	 */
-	CompletableFuture<Boolean> keepAnswer(RequestSpec request, KeptAnswer answer);
+	CompletableFuture<Boolean> keepAnswer(RequestSpec request, AttemptId claimed, KeptAnswer answer);
 
 	/**
 	 * Gives a claim back, only when the dispatch provably never began. A claim of another
--- a/routing/src/main/java/io/verbenatrack/routing/LocalClaimStore.java
+++ b/routing/src/main/java/io/verbenatrack/routing/LocalClaimStore.java
@@ -78,9 +78,10 @@
 	}
 
 	@Override
-	public synchronized CompletableFuture<Boolean> keepAnswer(RequestSpec request, KeptAnswer answer) {
+	public synchronized CompletableFuture<Boolean> keepAnswer(RequestSpec request, AttemptId claimed,
+			KeptAnswer answer) {
 		Entry entry = this.claims.get(new Key(request.account(), request.id()));
-		if (entry == null || !entry.attempt.equals(answer.attempt())) {
+		if (entry == null || !entry.attempt.equals(claimed)) {
 			return CompletableFuture.completedFuture(false);
 		}
 		entry.answer = (entry.answer != null) ? entry.answer : answer;
--- /dev/null
+++ b/routing/src/main/java/io/verbenatrack/routing/RequestRouter.java
@@ -0,0 +1,252 @@
+package io.verbenatrack.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.ZoneId;
+
+/**
+ * Decides on requests: events and the time go in, decisions come out.
+ * <p>
+ * It has no threads, clock or input of its own, so that one seed replays exactly. It is
+ * not safe for use by many threads; one thread owns it.
+ */
+public final class RequestRouter {
+
+	private static final long DETECTION_INTERVAL_NANOS = Duration.ofMillis(100).toNanos();
+
+	private final RouterContext context;
+
+	private final Settlement settlement;
+
+	private final AdmissionFlow admission;
+
+	private final AttemptFlow attempts;
+
+	private long detectedAtNanos = Long.MIN_VALUE;
+
+	private long hardDeadlineNanos = Long.MAX_VALUE;
+
+	private boolean drained;
+
+	/**
+	 * Creates a router without requests.
+	 * @param self the instance it decides for
+	 * @param zone the availability zone of the instance
+	 * @param directory the targets
+	 * @param weights the shares of client accounts
+	 * @param settings the limits
+	 * @param random the source of chance; also names this start of the instance
+	 */
+	public RequestRouter(InstanceId self, ZoneId zone, TargetDirectory directory, AccountWeights weights,
+			RoutingSettings settings, RandomGenerator random) {
+		TargetPool pool = new TargetPool(self, zone, directory, settings, random);
+		this.context = new RouterContext(self.value(), settings, pool, weights, random);
+		this.settlement = new Settlement(this.context);
+		this.admission = new AdmissionFlow(this.context, this.settlement);
+		this.attempts = new AttemptFlow(this.context, this.settlement, this.admission);
+	}
+
+	/**
+	 * Takes an event.
+	 * @param event what happened
+	 * @param nowNanos the monotonic time in nanoseconds; it never goes back
+	 * @return what to do, in order
+	 */
+	public List<RoutingDecision> handle(RoutingEvent event, long nowNanos) {
+		this.context.start(nowNanos);
+		take(event);
+		fireTimers();
+		detectOutliers();
+		this.attempts.pump();
+		endDrain();
+		return this.context.decisions();
+	}
+
+	/**
+	 * When {@link RoutingEvent.Ticked} is due at the latest.
+	 * @return the monotonic time in nanoseconds, or empty when nothing is due
+	 */
+	public OptionalLong nextWakeUpNanos() {
+		return this.context.timers().next();
+	}
+
+	/**
+	 * How many exchanges are open, told ones with unfinished dispatches included.
+	 * @return the count
+	 */
+	public int open() {
+		return this.context.exchanges().size();
+	}
+
+	/**
+	 * How many requests wait for a slot.
+	 * @return the count over all services
+	 */
+	public int queued() {
+		return this.context.queues().values().stream().mapToInt(ServiceQueue::size).sum();
+	}
+
+	/**
+	 * How many targets are set aside.
+	 * @return the count over all services
+	 */
+	public int setAside() {
+		return (int) this.context.pool().states().stream().filter(TargetState::isSetAside).count();
+	}
+
+	/**
+	 * What to tell the other instances about slots, due every 250 ms.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the changed uses only
+	 */
+	public List<SlotUse> slotUses(long nowNanos) {
+		List<SlotUse> uses = new ArrayList<>();
+		for (ServiceQueue queue : this.context.queues().values()) {
+			List<TargetPool.Candidate> eligible = this.context.pool().eligible(queue.service(), nowNanos);
+			int wanted = Math.ceilDiv(queue.size(), Math.max(1, eligible.size()));
+			for (TargetPool.Candidate candidate : eligible) {
+				this.context.pool()
+					.shares()
+					.report(candidate.view().spec(), candidate.state().inFlight(), wanted, nowNanos)
+					.ifPresent(uses::add);
+			}
+		}
+		return uses;
+	}
+
+	private void take(RoutingEvent event) {
+		switch (event) {
+			case RoutingEvent.Accepted accepted -> this.admission.accept(accepted);
+			case RoutingEvent.ClaimSettled settled -> exchange(settled.exchange())
+				.ifPresent((exchange) -> this.admission.claimSettled(exchange, settled.result()));
+			case RoutingEvent.ReleaseSettled settled ->
+				exchange(settled.exchange()).ifPresent(this.settlement::storeStepSettled);
+			case RoutingEvent.KeepSettled settled ->
+				exchange(settled.exchange()).ifPresent(this.settlement::storeStepSettled);
+			case RoutingEvent.AttemptAdvanced advanced ->
+				Optional.ofNullable(this.context.attempts().get(advanced.attempt()))
+					.ifPresent((attempt) -> this.attempts.advanced(attempt, advanced.step()));
+			case RoutingEvent.AttemptEnded ended -> Optional.ofNullable(this.context.attempts().get(ended.attempt()))
+				.ifPresent((attempt) -> this.attempts.ended(attempt, ended.result()));
+			case RoutingEvent.CallerGone gone -> exchange(gone.exchange()).ifPresent(this::callerGone);
+			case RoutingEvent.InstancesChanged changed -> this.context.pool().shares().share(changed.instances());
+			case RoutingEvent.SlotUseHeard heard -> this.context.pool().shares().hear(heard.use(), this.context.now());
+			case RoutingEvent.DrainBegan began -> beginDrain(began.hardDeadlineNanos());
+			case RoutingEvent.Ticked ticked -> {
+			}
+		}
+	}
+
+	private Optional<Exchange> exchange(ExchangeId id) {
+		return Optional.ofNullable(this.context.exchanges().get(id));
+	}
+
+	private void fireTimers() {
+		Optional<Timers.Timer> due = this.context.timers().pollDue(this.context.now());
+		while (due.isPresent()) {
+			Timers.Kind kind = due.get().kind();
+			exchange(due.get().exchange()).ifPresent((exchange) -> fire(kind, exchange));
+			due = this.context.timers().pollDue(this.context.now());
+		}
+	}
+
+	private void fire(Timers.Kind kind, Exchange exchange) {
+		switch (kind) {
+			case DEADLINE -> endWait(exchange, "Its deadline passed.");
+			case CANCEL_GRACE -> cancelUnconfirmed(exchange);
+			case RECHECK -> this.admission.recheck(exchange);
+			case RESUME -> this.attempts.resume(exchange);
+			case HEDGE -> this.attempts.hedge(exchange);
+			case ABANDON -> this.attempts.cancelAll(exchange);
+		}
+	}
+
+	private void cancelUnconfirmed(Exchange exchange) {
+		if (exchange.is("cancelling")) {
+			this.settlement.tell(exchange, Outcomes.unknown(exchange, "Its deadline passed while it was dispatched."));
+		}
+	}
+
+	private void endWait(Exchange exchange, String finding) {
+		switch (exchange.state()) {
+			case "claiming" -> endClaim(exchange, finding);
+			case "waiting" -> this.settlement.tell(exchange,
+					Outcomes.unknown(exchange, "Another send of it holds the claim and has no answer yet."));
+			case "queued", "backing-off" -> this.admission.giveUp(exchange, "no slot was free before its deadline");
+			case "dispatched", "streaming" -> this.attempts.stopWaiting(exchange, finding);
+			case "keeping", "releasing" -> this.settlement.tell(exchange, exchange.pending());
+			default -> {
+			}
+		}
+	}
+
+	private void endClaim(Exchange exchange, String finding) {
+		boolean first = exchange.isKnownFirst();
+		this.settlement.tell(exchange, first ? Outcomes.notRun(Outcomes.notDispatched("its claim took too long"))
+				: Outcomes.unknown(exchange, finding + " An earlier send may have run."));
+	}
+
+	private void callerGone(Exchange exchange) {
+		exchange.markCallerGone();
+		switch (exchange.state()) {
+			case "queued", "backing-off" -> this.admission.giveUp(exchange, "the caller left");
+			case "waiting" -> endWait(exchange, "The caller left.");
+			case "dispatched", "streaming" -> leaveRunning(exchange);
+			default -> {
+			}
+		}
+	}
+
+	// The answer of a request that is not idempotent is still kept for its resend.
+	private void leaveRunning(Exchange exchange) {
+		if (exchange.idempotent() || exchange.is("streaming")) {
+			this.attempts.stopWaiting(exchange, "The caller left.");
+		}
+	}
+
+	private void detectOutliers() {
+		if (this.context.now() - this.detectedAtNanos < DETECTION_INTERVAL_NANOS
+				&& this.detectedAtNanos != Long.MIN_VALUE) {
+			return;
+		}
+		this.detectedAtNanos = this.context.now();
+		this.context.queues()
+			.keySet()
+			.forEach((service) -> this.context.pool().detectOutliers(service, this.context.now()));
+		this.context.pool().forgetIdle(this.context.now());
+	}
+
+	private void beginDrain(long hardDeadline) {
+		this.context.beginDrain();
+		this.hardDeadlineNanos = hardDeadline;
+	}
+
+	private void endDrain() {
+		if (!this.context.draining() || this.drained) {
+			return;
+		}
+		boolean cut = this.context.now() >= this.hardDeadlineNanos;
+		if (cut) {
+			List.copyOf(this.context.exchanges().values()).forEach(this::cut);
+		}
+		if (cut || this.context.exchanges().isEmpty()) {
+			this.drained = true;
+			this.context.decide(new RoutingDecision.Drained());
+		}
+	}
+
+	private void cut(Exchange exchange) {
+		endWait(exchange, "This instance shut down while it ran.");
+		this.attempts.cancelAll(exchange);
+		if (exchange.is("cancelling")) {
+			cancelUnconfirmed(exchange);
+		}
+	}
+
+}
--- /dev/null
+++ b/routing/src/main/java/io/verbenatrack/routing/SlotShares.java
@@ -0,0 +1,210 @@
+package io.verbenatrack.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.TargetId;
+import io.verbenatrack.routing.rules.SlotShare;
+
+/**
+ * Shares the slots of each target over the instances, and lends idle ones.
+ * <p>
+ * Every slot is owned by one instance. An owner lends what it does not use to an instance
+ * that wants more, and counts a lent slot as used until the borrower acknowledged the
+ * recall and reports that it no longer holds it. A borrower uses a loan only while it
+ * hears the owner.
+ */
+final class SlotShares {
+
+	/** How often instances report their use to each other, in milliseconds. */
+	static final long REPORT_INTERVAL_MILLIS = 250;
+
+	private static final long LOAN_FRESH_NANOS = 4 * REPORT_INTERVAL_MILLIS * 1_000_000;
+
+	private final InstanceId self;
+
+	private final Map<TargetId, Ledger> ledgers = new TreeMap<>();
+
+	private List<InstanceId> instances;
+
+	private long sequence;
+
+	SlotShares(InstanceId self) {
+		this.self = self;
+		this.instances = List.of(self);
+	}
+
+	void share(List<InstanceId> all) {
+		this.instances = all.contains(this.self) ? all.stream().sorted().toList() : List.of(this.self);
+		this.ledgers.values().forEach((ledger) -> ledger.keepOnly(this.instances));
+	}
+
+	int capacity(TargetSpec target, long nowNanos) {
+		Ledger ledger = this.ledgers.get(target.id());
+		int loans = (ledger != null) ? ledger.borrowed(nowNanos) - ledger.outstanding() : 0;
+		return Math.min(entitled(target) + loans, connections(target));
+	}
+
+	private int entitled(TargetSpec target) {
+		return of(target, target.slots());
+	}
+
+	private int connections(TargetSpec target) {
+		return Math.max(1, of(target, target.connections()));
+	}
+
+	private int of(TargetSpec target, int total) {
+		int rank = this.instances.indexOf(this.self);
+		return SlotShare.of(total, this.instances.size(), rank, target.id().value().hashCode());
+	}
+
+	void hear(SlotUse use, long nowNanos) {
+		if (use.from().equals(this.self) || !this.instances.contains(use.from())) {
+			return;
+		}
+		this.ledgers.computeIfAbsent(use.target(), (id) -> new Ledger()).hear(use, this.self, nowNanos);
+	}
+
+	/**
+	 * Lends, recalls and reports the use of one target.
+	 * @param target the target
+	 * @param inFlight how many dispatches run on it
+	 * @param wanted how many more could be sent now
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the report, or empty when there is nothing to tell
+	 */
+	Optional<SlotUse> report(TargetSpec target, int inFlight, int wanted, long nowNanos) {
+		Ledger ledger = this.ledgers.computeIfAbsent(target.id(), (id) -> new Ledger());
+		this.sequence++;
+		int entitled = entitled(target);
+		int spare = (wanted > 0) ? 0 : entitled - Math.min(inFlight, entitled);
+		ledger.lend(spare, this.sequence, nowNanos);
+		int over = Math.max(0, inFlight - (entitled - ledger.outstanding()));
+		return ledger.report(this.self, target.id(), this.sequence, wanted, over, nowNanos);
+	}
+
+	private static final class Ledger {
+
+		private final Map<InstanceId, Loan> lent = new TreeMap<>();
+
+		private final Map<InstanceId, SlotUse> heard = new TreeMap<>();
+
+		private final Map<InstanceId, Long> heardAtNanos = new TreeMap<>();
+
+		private final Map<InstanceId, Integer> borrowed = new TreeMap<>();
+
+		private boolean told;
+
+		private void keepOnly(List<InstanceId> instances) {
+			this.lent.keySet().retainAll(instances);
+			this.heard.keySet().retainAll(instances);
+			this.heardAtNanos.keySet().retainAll(instances);
+			this.borrowed.keySet().retainAll(instances);
+		}
+
+		private int outstanding() {
+			return this.lent.values().stream().mapToInt((loan) -> loan.outstanding).sum();
+		}
+
+		private int borrowed(long nowNanos) {
+			int sum = 0;
+			for (Map.Entry<InstanceId, Integer> loan : this.borrowed.entrySet()) {
+				sum += isFresh(loan.getKey(), nowNanos) ? loan.getValue() : 0;
+			}
+			return sum;
+		}
+
+		private boolean isFresh(InstanceId from, long nowNanos) {
+			return nowNanos - this.heardAtNanos.get(from) <= LOAN_FRESH_NANOS;
+		}
+
+		private void hear(SlotUse use, InstanceId self, long nowNanos) {
+			SlotUse earlier = this.heard.get(use.from());
+			if (earlier != null && earlier.sequence() >= use.sequence()) {
+				return;
+			}
+			this.heard.put(use.from(), use);
+			this.heardAtNanos.put(use.from(), nowNanos);
+			this.borrowed.put(use.from(), use.lent().getOrDefault(self, 0));
+			Loan loan = this.lent.get(use.from());
+			if (loan != null && use.acknowledged().getOrDefault(self, -1L) >= loan.changedAt) {
+				loan.outstanding = Math.max(loan.granted, use.held().getOrDefault(self, 0));
+			}
+		}
+
+		private void lend(int spare, long sequence, long nowNanos) {
+			List<InstanceId> wanting = new ArrayList<>();
+			for (SlotUse use : this.heard.values()) {
+				if (use.wanted() > 0 && isFresh(use.from(), nowNanos)) {
+					wanting.add(use.from());
+				}
+			}
+			Map<InstanceId, Integer> grants = new TreeMap<>();
+			this.lent.keySet().forEach((borrower) -> grants.put(borrower, 0));
+			for (int i = 0; i < wanting.size(); i++) {
+				InstanceId borrower = wanting.get(i);
+				int part = spare / wanting.size() + ((i < spare % wanting.size()) ? 1 : 0);
+				grants.put(borrower, Math.min(part, this.heard.get(borrower).wanted() + heldBy(borrower)));
+			}
+			grants.forEach((borrower, slots) -> this.lent.computeIfAbsent(borrower, (id) -> new Loan())
+				.grant(slots, sequence));
+		}
+
+		private int heldBy(InstanceId borrower) {
+			Loan loan = this.lent.get(borrower);
+			return (loan != null) ? loan.outstanding : 0;
+		}
+
+		private Optional<SlotUse> report(InstanceId self, TargetId target, long sequence, int wanted, int over,
+				long nowNanos) {
+			Map<InstanceId, Integer> grants = new TreeMap<>();
+			this.lent.forEach((borrower, loan) -> grants.put(borrower, loan.granted));
+			Map<InstanceId, Integer> held = held(over, nowNanos);
+			Map<InstanceId, Long> acknowledged = new TreeMap<>();
+			this.heard.forEach((from, use) -> acknowledged.put(from, use.sequence()));
+			boolean quiet = wanted == 0 && over == 0 && outstanding() == 0 && borrowed(nowNanos) == 0;
+			boolean tell = !quiet || this.told;
+			this.told = !quiet;
+			return tell ? Optional.of(new SlotUse(self, target, sequence, wanted, grants, held, acknowledged))
+					: Optional.empty();
+		}
+
+		private Map<InstanceId, Integer> held(int over, long nowNanos) {
+			Map<InstanceId, Integer> held = new TreeMap<>();
+			int left = over;
+			for (Map.Entry<InstanceId, Integer> loan : this.borrowed.entrySet()) {
+				int granted = isFresh(loan.getKey(), nowNanos) ? loan.getValue() : 0;
+				held.put(loan.getKey(), granted);
+				left -= granted;
+			}
+			for (InstanceId lender : held.keySet()) {
+				held.merge(lender, Math.max(0, left), Integer::sum);
+			}
+			return held;
+		}
+
+	}
+
+	private static final class Loan {
+
+		private int granted;
+
+		private int outstanding;
+
+		private long changedAt;
+
+		private void grant(int slots, long sequence) {
+			if (slots != this.granted) {
+				this.changedAt = sequence;
+			}
+			this.granted = slots;
+			this.outstanding = Math.max(this.outstanding, slots);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/routing/src/main/java/io/verbenatrack/routing/TargetPool.java
@@ -0,0 +1,146 @@
+package io.verbenatrack.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.ServiceId;
+import io.verbenatrack.model.TargetId;
+import io.verbenatrack.model.ZoneId;
+import io.verbenatrack.routing.rules.LeastLoadedOfTwo;
+import io.verbenatrack.routing.rules.OutlierDetection;
+import io.verbenatrack.routing.rules.SameZoneFirst;
+
+/**
+ * Chooses targets with room, and sets outliers aside.
+ */
+final class TargetPool {
+
+	private static final long FORGET_NANOS = Duration.ofMinutes(5).toNanos();
+
+	private final TargetDirectory directory;
+
+	private final ZoneId zone;
+
+	private final RoutingSettings settings;
+
+	private final RandomGenerator random;
+
+	private final SlotShares shares;
+
+	private final Map<TargetId, TargetState> states = new TreeMap<>();
+
+	TargetPool(InstanceId self, ZoneId zone, TargetDirectory directory, RoutingSettings settings,
+			RandomGenerator random) {
+		this.directory = directory;
+		this.zone = zone;
+		this.settings = settings;
+		this.random = random;
+		this.shares = new SlotShares(self);
+	}
+
+	SlotShares shares() {
+		return this.shares;
+	}
+
+	List<Candidate> eligible(ServiceId service, long nowNanos) {
+		List<Candidate> candidates = new ArrayList<>();
+		for (TargetView view : this.directory.eligible(service, nowNanos)) {
+			TargetState state = this.states.computeIfAbsent(view.spec().id(), (id) -> new TargetState(view.spec()));
+			state.announce(view.spec());
+			state.endSetAside(nowNanos);
+			candidates.add(new Candidate(view, state, capacity(view.spec(), state, nowNanos)));
+		}
+		return candidates;
+	}
+
+	private int capacity(TargetSpec spec, TargetState state, long nowNanos) {
+		if (state.isSetAside()) {
+			return 0;
+		}
+		int capacity = this.shares.capacity(spec, nowNanos);
+		return state.isOnProbation() ? Math.min(1, capacity) : capacity;
+	}
+
+	Optional<TargetState> choose(List<Candidate> eligible, Set<TargetId> tried) {
+		List<Candidate> free = eligible.stream().filter(Candidate::hasRoom).toList();
+		if (free.isEmpty()) {
+			return Optional.empty();
+		}
+		List<Candidate> fresh = free.stream().filter((one) -> !tried.contains(one.state.spec().id())).toList();
+		List<Candidate> narrowed = SameZoneFirst.narrow(fresh.isEmpty() ? free : fresh,
+				(one) -> one.state.spec().zone().equals(this.zone), Candidate::load);
+		return Optional.of(LeastLoadedOfTwo.choose(narrowed, Candidate::load, this.random).state);
+	}
+
+	Collection<TargetState> states() {
+		return this.states.values();
+	}
+
+	/**
+	 * Sets aside what looks bad, within the cap.
+	 * @param service the service
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	void detectOutliers(ServiceId service, long nowNanos) {
+		List<Candidate> all = eligible(service, nowNanos);
+		long median = medianNanos(all);
+		List<TargetState> bad = all.stream()
+			.map(Candidate::state)
+			.filter((state) -> state.failedSinceProbation() || state.looksBad(median, nowNanos))
+			.toList();
+		if (!OutlierDetection.withinCap(bad.size(), all.size(), this.settings.setAsideShare())) {
+			bad.stream().filter(TargetState::isSetAside).forEach(TargetState::restore);
+			return;
+		}
+		for (TargetState state : bad) {
+			if (!state.isSetAside()) {
+				state.setAside(OutlierDetection.durationNanos(state.timesSetAside(), this.settings.setAsideBase()),
+						nowNanos);
+			}
+		}
+	}
+
+	private static long medianNanos(List<Candidate> all) {
+		long[] means = all.stream()
+			.map(Candidate::state)
+			.filter(TargetState::hasMean)
+			.mapToLong(TargetState::meanNanos)
+			.sorted()
+			.toArray();
+		return (means.length > 0) ? means[means.length / 2] : 0;
+	}
+
+	void forgetIdle(long nowNanos) {
+		this.states.values().removeIf((state) -> state.isIdleSince(nowNanos - FORGET_NANOS));
+	}
+
+	/**
+	 * A target that may be chosen.
+	 *
+	 * @param view what is known of it
+	 * @param state what this instance learned of it
+	 * @param capacity how many dispatches this instance may run on it
+	 */
+	record Candidate(TargetView view, TargetState state, int capacity) {
+
+		boolean hasRoom() {
+			return this.state.inFlight() < this.capacity;
+		}
+
+		double load() {
+			int running = Math.max(this.state.inFlight(), this.view.reportedLoad());
+			double own = (double) this.state.inFlight() / Math.max(1, this.capacity);
+			return own + (double) running / Math.max(1, this.view.spec().slots());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/routing/src/main/java/io/verbenatrack/routing/rules/ConcurrencyGradient.java
@@ -0,0 +1,37 @@
+package io.verbenatrack.routing.rules;
+
+/**
+ * Adapts how many requests run at once to the service time they see.
+ * <p>
+ * The gradient of Netflix's "Performance Under Load" (2018), which goes back to TCP Vegas
+ * (Brakmo and Peterson, IEEE JSAC 13(8), 1995).
+ */
+public final class ConcurrencyGradient {
+
+	/** So much slower than usual is tolerated before the limit shrinks. */
+	public static final double TOLERANCE = 2;
+
+	private static final double SMOOTHING = 0.1;
+
+	private static final double MINIMUM_GRADIENT = 0.5;
+
+	private ConcurrencyGradient() {
+	}
+
+	/**
+	 * Moves a limit one step.
+	 * @param limit the present limit
+	 * @param usualNanos the long-term mean service time in nanoseconds
+	 * @param recentNanos the short-term mean service time in nanoseconds
+	 * @param minimum the lowest limit
+	 * @param maximum the highest limit
+	 * @return the next limit
+	 */
+	public static double next(double limit, double usualNanos, double recentNanos, double minimum, double maximum) {
+		double gradient = Math.clamp(TOLERANCE * usualNanos / Math.max(1, recentNanos), MINIMUM_GRADIENT, 1);
+		double goal = limit * gradient + Math.sqrt(limit);
+		double smoothed = limit + SMOOTHING * (goal - limit);
+		return Math.clamp(smoothed, Math.min(minimum, maximum), maximum);
+	}
+
+}
--- /dev/null
+++ b/routing/src/main/java/io/verbenatrack/routing/rules/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The rules that decide on requests, one a class.
+ */
+package io.verbenatrack.routing.rules;
