Replay the scheduling state exactly

Change: SchedulingState.replay() gives RestoreWorker, RestoreJob, BindGuarantee, RestoreRunTimes and the token floor; ReplicatedScheduler is the base of all policies with decide, apply, view, replay and job. Ended jobs beyond a limit are forgotten by the decision ForgetJobs. Views tell kept run time. Run time samples are kept for each client account and job class. Conclusion: the server can keep a committed and a deciding copy.

--- a/scheduling/src/main/java/io/verbenatrack/scheduling/SchedulingDecision.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/SchedulingDecision.java
@@ -224,6 +224,49 @@
 
 	}
 
+	/**
+	 * The job is as the snapshot says; part of a replay.
+	 *
+	 * @param job the snapshot
+	 */
+	record RestoreJob(JobSnapshot job) implements SchedulingDecision {
+
+	}
+
+	/**
+	 * The worker is as told; part of a replay, before the jobs.
+	 *
+	 * @param worker what it announced
+	 * @param phase the state of the worker chart
+	 * @param failuresInARow failed members since the last one that finished
+	 * @param successes members that ever finished there
+	 * @param quarantinedUntil when its quarantine ends
+	 */
+	record RestoreWorker(WorkerSpec worker, String phase, int failuresInARow, int successes,
+			Instant quarantinedUntil) implements SchedulingDecision {
+
+	}
+
+	/**
+	 * The run times of a class of jobs are as told; part of a replay.
+	 *
+	 * @param account the account
+	 * @param jobClass the class
+	 * @param ratios true over declared run times, oldest first
+	 */
+	record RestoreRunTimes(AccountId account, String jobClass, List<Double> ratios) implements SchedulingDecision {
+
+	}
+
+	/**
+	 * These ended jobs are remembered no longer.
+	 *
+	 * @param jobs the jobs
+	 */
+	record ForgetJobs(List<JobId> jobs) implements SchedulingDecision {
+
+	}
+
 	/**
 	 * A configuration applies from here on.
 	 *
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/SchedulingView.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/SchedulingView.java
@@ -1,5 +1,6 @@
 package io.verbenatrack.scheduling;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -33,13 +34,15 @@
 	 * @param submittedAt when it was accepted
 	 * @param token the lease, while it holds accelerators
 	 * @param placement the accelerators, while it holds some
+	 * @param keptProgress run time that need not be repeated
 	 * @param reclaims how often it was stopped to make room
 	 * @param borrowed whether it holds accelerators beyond its account's guarantees, so
 	 * that it may be reclaimed
 	 * @param outcome the outcome, once there is one
 	 */
 	public record JobView(JobSpec job, String phase, String reason, Instant submittedAt, Optional<FencingToken> token,
-			Optional<GangPlacement> placement, int reclaims, boolean borrowed, Optional<JobOutcome> outcome) {
+			Optional<GangPlacement> placement, Duration keptProgress, int reclaims, boolean borrowed,
+			Optional<JobOutcome> outcome) {
 
 	}
 
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/lifecycle/ReplicatedScheduler.java
@@ -0,0 +1,88 @@
+package io.verbenatrack.scheduling.lifecycle;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.scheduling.Scheduler;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.scheduling.SchedulingEvent;
+import io.verbenatrack.scheduling.SchedulingView;
+import io.verbenatrack.scheduling.state.DecisionLog;
+import io.verbenatrack.scheduling.state.SchedulingState;
+import io.verbenatrack.scheduling.state.Views;
+
+/**
+ * A scheduler whose policy only chooses accelerators; all else is the same for each.
+ */
+public abstract class ReplicatedScheduler implements Scheduler {
+
+	/** At 2,100 jobs a day this is 9 days. */
+	public static final int DEFAULT_REMEMBERED_JOBS = 20_000;
+
+	private static final int FORGET_AT_ONCE = 200;
+
+	private final SchedulingState state = new SchedulingState();
+
+	private final GangLifecycle lifecycle = new GangLifecycle(this.state);
+
+	private final int rememberedJobs;
+
+	/**
+	 * Starts with no jobs and no workers.
+	 * @param rememberedJobs ended jobs beyond that many are forgotten, oldest first
+	 */
+	protected ReplicatedScheduler(int rememberedJobs) {
+		this.rememberedJobs = rememberedJobs;
+	}
+
+	@Override
+	public final List<SchedulingDecision> decide(SchedulingEvent event, Instant now) {
+		DecisionLog log = new DecisionLog(this.state);
+		this.lifecycle.handle(event, now, log);
+		follow(event, now, log);
+		List<JobId> forgotten = this.state.jobs().endedBeyond(this.rememberedJobs + FORGET_AT_ONCE);
+		if (!forgotten.isEmpty()) {
+			log.add(new SchedulingDecision.ForgetJobs(this.state.jobs().endedBeyond(this.rememberedJobs)));
+		}
+		return log.decisions();
+	}
+
+	/**
+	 * Decides what the policy makes of an event whose direct effects are applied.
+	 * @param event what happened
+	 * @param now when
+	 * @param log takes the decisions
+	 */
+	protected abstract void follow(SchedulingEvent event, Instant now, DecisionLog log);
+
+	/**
+	 * What decisions change.
+	 * @return the state
+	 */
+	protected final SchedulingState state() {
+		return this.state;
+	}
+
+	@Override
+	public final void apply(List<SchedulingDecision> decisions) {
+		decisions.forEach(this.state::apply);
+	}
+
+	@Override
+	public final SchedulingView view() {
+		return Views.of(this.state);
+	}
+
+	@Override
+	public final List<SchedulingDecision> replay() {
+		return this.state.replay();
+	}
+
+	@Override
+	public final Optional<SchedulingView.JobView> job(JobId id) {
+		return this.state.jobs().job(id).map((job) -> Views.job(this.state, job));
+	}
+
+}
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/rules/BadJob.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/BadJob.java
@@ -7,6 +7,7 @@
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
 import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.scheduling.JobSnapshot;
 import io.verbenatrack.scheduling.state.FleetState;
 import io.verbenatrack.scheduling.state.JobRecord;
 import io.verbenatrack.scheduling.state.WorkerRecord;
@@ -35,7 +36,7 @@
 	public static Optional<Problem> decide(FleetState fleet, JobRecord job, int refuseAfterWorkers) {
 		Set<WorkerId> good = new LinkedHashSet<>();
 		Set<WorkerId> all = new LinkedHashSet<>();
-		for (JobRecord.Failure failure : job.failures()) {
+		for (JobSnapshot.Failure failure : job.failures()) {
 			all.add(failure.worker());
 			if (fleet.worker(failure.worker()).filter((worker) -> isGood(worker, failure)).isPresent()) {
 				good.add(failure.worker());
@@ -46,7 +47,7 @@
 		return refused ? Optional.of(problem(job, all)) : Optional.empty();
 	}
 
-	private static boolean isGood(WorkerRecord worker, JobRecord.Failure failure) {
+	private static boolean isGood(WorkerRecord worker, JobSnapshot.Failure failure) {
 		boolean finishedSince = worker.successes() > failure.successesBefore();
 		boolean finishedBefore = failure.successesBefore() > 0 && worker.failuresInARow() <= 1;
 		return worker.usable() && (finishedSince || finishedBefore);
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/FleetState.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/FleetState.java
@@ -8,11 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 import io.verbenatrack.model.RackId;
 import io.verbenatrack.model.Slot;
 import io.verbenatrack.model.WorkerId;
 import io.verbenatrack.model.WorkerSpec;
+import io.verbenatrack.scheduling.SchedulingDecision;
 
 /**
  * The workers and racks.
@@ -23,7 +25,7 @@
 
 	private final List<WorkerRecord> byIndex = new ArrayList<>();
 
-	private final Map<RackId, RackRecord> racks = new LinkedHashMap<>();
+	private final Map<RackId, RackRecord> racks = new TreeMap<>();
 
 	private final List<WorkerListener> listeners = new ArrayList<>();
 
@@ -39,15 +41,26 @@
 		WorkerRecord worker = this.byId.get(spec.id());
 		if (worker == null) {
 			worker = new WorkerRecord(this.byIndex.size(), spec);
-			this.byId.put(spec.id(), worker);
-			this.byIndex.add(worker);
+			add(worker);
 		}
 		else {
 			this.racks.get(worker.spec().rack()).remove(worker);
 			worker.changePhase("announce");
 			worker.admit(spec);
 		}
-		this.racks.computeIfAbsent(spec.rack(), (id) -> new RackRecord(id, this.racks.size())).add(worker);
+		this.racks.computeIfAbsent(spec.rack(), RackRecord::new).add(worker);
+		notifyOf(worker);
+	}
+
+	private void add(WorkerRecord worker) {
+		this.byId.put(worker.id(), worker);
+		this.byIndex.add(worker);
+	}
+
+	void restore(SchedulingDecision.RestoreWorker snapshot) {
+		WorkerRecord worker = new WorkerRecord(this.byIndex.size(), snapshot);
+		add(worker);
+		this.racks.computeIfAbsent(worker.spec().rack(), RackRecord::new).add(worker);
 		notifyOf(worker);
 	}
 
@@ -76,11 +89,13 @@
 		notifyOf(worker);
 	}
 
-	void hold(JobRecord job, List<Slot> slots) {
-		for (Slot slot : slots) {
-			WorkerRecord worker = existing(slot.worker());
-			worker.hold(job, slot);
-			notifyOf(worker);
+	void hold(JobRecord job, GangLease lease) {
+		for (GangMember member : lease.members()) {
+			if (!member.detached()) {
+				WorkerRecord worker = existing(member.slot().worker());
+				worker.hold(job, member.slot());
+				notifyOf(worker);
+			}
 		}
 	}
 
@@ -135,7 +150,7 @@
 
 	/**
 	 * Every rack.
-	 * @return the racks in order of their index
+	 * @return the racks in order of their ids
 	 */
 	public Collection<RackRecord> racks() {
 		return Collections.unmodifiableCollection(this.racks.values());
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/GangLease.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/GangLease.java
@@ -10,6 +10,7 @@
 import io.verbenatrack.model.GangPlacement;
 import io.verbenatrack.model.Slot;
 import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.scheduling.JobSnapshot;
 
 /**
  * The hold of one gang on its accelerators, from placement to release.
@@ -43,6 +44,25 @@
 		}
 	}
 
+	GangLease(JobSnapshot.Lease snapshot) {
+		this.token = snapshot.token();
+		this.placement = snapshot.placement();
+		this.placedAt = snapshot.placedAt();
+		this.phase = snapshot.phase();
+		this.changedAt = snapshot.changedAt();
+		this.startedAt = snapshot.startedAt().orElse(null);
+		this.checkpointAt = snapshot.checkpointAt().orElse(null);
+		this.members = new ArrayList<>(snapshot.members().size());
+		for (int index = 0; index < snapshot.members().size(); index++) {
+			this.members.add(new GangMember(this.placement.slots().get(index), snapshot.members().get(index)));
+		}
+	}
+
+	JobSnapshot.Lease snapshot() {
+		return new JobSnapshot.Lease(this.token, this.placement, this.phase, this.placedAt, this.changedAt, startedAt(),
+				checkpointAt(), this.members.stream().map(GangMember::snapshot).toList());
+	}
+
 	void changePhase(String event, Instant at) {
 		this.phase = Charts.next(Charts.LEASE, this.phase, event);
 		this.changedAt = at;
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/GangMember.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/GangMember.java
@@ -1,6 +1,7 @@
 package io.verbenatrack.scheduling.state;
 
 import io.verbenatrack.model.Slot;
+import io.verbenatrack.scheduling.JobSnapshot;
 import io.verbenatrack.scheduling.MemberReport;
 
 /**
@@ -14,10 +15,30 @@
 
 	private boolean saved;
 
+	private boolean detached;
+
 	GangMember(Slot slot) {
 		this.slot = slot;
 	}
 
+	GangMember(Slot slot, JobSnapshot.Member snapshot) {
+		this.slot = slot;
+		this.phase = snapshot.phase();
+		this.saved = snapshot.saved();
+		this.detached = snapshot.detached();
+	}
+
+	JobSnapshot.Member snapshot() {
+		return new JobSnapshot.Member(this.phase, this.saved, this.detached);
+	}
+
+	void detach() {
+		this.detached = true;
+		if (!ended()) {
+			changePhase("lost");
+		}
+	}
+
 	/**
 	 * Whether a report means anything in the present state; a resent one does not.
 	 * @param report the report
@@ -56,6 +77,14 @@
 		return Charts.MEMBER.isFinal(this.phase);
 	}
 
+	/**
+	 * Whether the worker was lost, so that the member holds nothing there.
+	 * @return whether it is detached
+	 */
+	public boolean detached() {
+		return this.detached;
+	}
+
 	/**
 	 * Whether the member saved its progress under this lease.
 	 * @return whether it did
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/GuaranteeRegions.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/GuaranteeRegions.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -50,7 +49,7 @@
 		}
 		this.regions.put(key, bind.region());
 		for (Slot slot : bind.region().slots()) {
-			this.byWorker.computeIfAbsent(slot.worker(), (id) -> new LinkedHashMap<>()).put(key, slot);
+			this.byWorker.computeIfAbsent(slot.worker(), (id) -> new TreeMap<>()).put(key, slot);
 			notifyOf(slot.worker());
 		}
 	}
@@ -59,6 +58,13 @@
 		this.listeners.forEach((listener) -> listener.accept(worker));
 	}
 
+	List<SchedulingDecision> replay() {
+		List<SchedulingDecision> decisions = new ArrayList<>(this.regions.size());
+		this.regions.forEach((key, region) -> decisions
+			.add(new SchedulingDecision.BindGuarantee(key.account(), key.guarantee(), key.gang(), region)));
+		return decisions;
+	}
+
 	/**
 	 * The region of one guaranteed gang.
 	 * @param key the gang
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/JobRecord.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/JobRecord.java
@@ -12,7 +12,7 @@
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.JobOutcome;
 import io.verbenatrack.model.JobSpec;
-import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.scheduling.JobSnapshot;
 
 /**
  * One job from its acceptance to its outcome.
@@ -25,7 +25,7 @@
 
 	private final long sequence;
 
-	private final List<Failure> failures = new ArrayList<>(0);
+	private final List<JobSnapshot.Failure> failures = new ArrayList<>(0);
 
 	private String phase = Charts.JOB.initialState();
 
@@ -54,6 +54,27 @@
 		this.sequence = sequence;
 	}
 
+	JobRecord(JobSnapshot snapshot) {
+		this(snapshot.job(), snapshot.submittedAt(), snapshot.sequence());
+		this.phase = snapshot.phase();
+		this.reason = snapshot.reason();
+		this.waitingSince = snapshot.waitingSince();
+		this.kept = snapshot.kept();
+		this.keptBefore = snapshot.keptBefore();
+		this.progress = snapshot.progress();
+		this.reclaims = snapshot.reclaims();
+		this.cancelledAt = snapshot.cancelledAt().orElse(null);
+		this.failures.addAll(snapshot.failures());
+		this.lease = snapshot.lease().map(GangLease::new).orElse(null);
+		this.outcome = snapshot.outcome().orElse(null);
+	}
+
+	JobSnapshot snapshot() {
+		return new JobSnapshot(this.spec, this.phase, this.reason, this.submittedAt, this.waitingSince, this.sequence,
+				this.kept, this.keptBefore, this.progress, this.reclaims, cancelledAt(), List.copyOf(this.failures),
+				lease().map(GangLease::snapshot), outcome());
+	}
+
 	void changePhase(String event) {
 		this.phase = Charts.next(Charts.JOB, this.phase, event);
 	}
@@ -89,7 +110,7 @@
 		this.cancelledAt = at;
 	}
 
-	void recordFailure(Failure failure) {
+	void recordFailure(JobSnapshot.Failure failure) {
 		this.failures.add(failure);
 	}
 
@@ -235,7 +256,7 @@
 	 * The failures so far, in order.
 	 * @return where they happened
 	 */
-	public List<Failure> failures() {
+	public List<JobSnapshot.Failure> failures() {
 		return Collections.unmodifiableList(this.failures);
 	}
 
@@ -247,14 +268,4 @@
 		return Optional.ofNullable(this.outcome);
 	}
 
-	/**
-	 * A member of the job failed.
-	 *
-	 * @param worker where
-	 * @param successesBefore members that had finished on that worker before
-	 */
-	public record Failure(WorkerId worker, int successesBefore) {
-
-	}
-
 }
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/JobTable.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/JobTable.java
@@ -3,19 +3,28 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.JobSpec;
+import io.verbenatrack.scheduling.JobSnapshot;
 
 /**
  * All remembered jobs, with an index of those that wait and of those in transition.
  */
 public final class JobTable {
 
+	private static final Comparator<JobRecord> OLDEST_OUTCOME_FIRST = Comparator
+		.comparing((JobRecord job) -> job.outcome().orElseThrow().at())
+		.thenComparingLong(JobRecord::sequence);
+
 	private final Map<JobId, JobRecord> byId = new LinkedHashMap<>();
 
 	private final TreeMap<Long, JobRecord> waiting = new TreeMap<>();
@@ -24,7 +33,7 @@
 
 	private final TreeMap<Long, JobRecord> holding = new TreeMap<>();
 
-	private final RetainedOutcomes retained = new RetainedOutcomes();
+	private final NavigableSet<JobRecord> ended = new TreeSet<>(OLDEST_OUTCOME_FIRST);
 
 	private long sequence;
 
@@ -53,10 +62,40 @@
 
 	void ended(JobRecord job) {
 		reindex(job);
-		JobId forgotten = this.retained.add(job.id());
-		if (forgotten != null) {
-			this.byId.remove(forgotten);
+		this.ended.add(job);
+	}
+
+	JobRecord restore(JobSnapshot snapshot) {
+		JobRecord job = new JobRecord(snapshot);
+		this.byId.put(job.id(), job);
+		this.sequence = Math.max(this.sequence, job.sequence());
+		reindex(job);
+		if (job.outcome().isPresent()) {
+			this.ended.add(job);
+		}
+		return job;
+	}
+
+	void forget(List<JobId> jobs) {
+		for (JobId id : jobs) {
+			JobRecord job = this.byId.remove(id);
+			if (job != null) {
+				this.ended.remove(job);
+			}
+		}
+	}
+
+	/**
+	 * The ended jobs beyond a limit.
+	 * @param limit how many ended jobs to keep
+	 * @return the jobs whose outcome is oldest
+	 */
+	public List<JobId> endedBeyond(int limit) {
+		int excess = this.ended.size() - limit;
+		if (excess <= 0) {
+			return List.of();
 		}
+		return this.ended.stream().limit(excess).map(JobRecord::id).toList();
 	}
 
 	JobRecord existing(JobId id) {
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/RackRecord.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/RackRecord.java
@@ -14,13 +14,10 @@
 
 	private final RackId id;
 
-	private final int index;
-
 	private final List<WorkerRecord> workers = new ArrayList<>();
 
-	RackRecord(RackId id, int index) {
+	RackRecord(RackId id) {
 		this.id = id;
-		this.index = index;
 	}
 
 	void add(WorkerRecord worker) {
@@ -41,14 +38,6 @@
 		return this.id;
 	}
 
-	/**
-	 * The place of the rack in the order of first announcements.
-	 * @return the index, from 0
-	 */
-	public int index() {
-		return this.index;
-	}
-
 	/**
 	 * The workers by their place in the rack.
 	 * @return the workers
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/SchedulingState.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/SchedulingState.java
@@ -1,6 +1,7 @@
 package io.verbenatrack.scheduling.state;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,7 @@
 import io.verbenatrack.model.Guarantee;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.JobOutcome;
+import io.verbenatrack.scheduling.JobSnapshot;
 import io.verbenatrack.scheduling.MemberReport;
 import io.verbenatrack.scheduling.SchedulingDecision;
 
@@ -28,6 +30,8 @@
 
 	private final GuaranteeRegions regions = new GuaranteeRegions();
 
+	private final RunTimeSamples runTimes = new RunTimeSamples();
+
 	private final Map<AccountId, List<Guarantee>> shortGuarantees = new TreeMap<>();
 
 	private Declarations declarations = Declarations.EMPTY;
@@ -59,10 +63,19 @@
 			case SchedulingDecision.ReportShortGuarantee report -> reportShort(report);
 			case SchedulingDecision.BindGuarantee bind -> this.regions.bind(bind);
 			case SchedulingDecision.AdoptDeclarations adopt -> this.declarations = adopt.declarations();
+			case SchedulingDecision.ForgetJobs forget -> this.jobs.forget(forget.jobs());
+			case SchedulingDecision.RestoreJob restore -> restore(restore.job());
+			case SchedulingDecision.RestoreWorker restore -> this.fleet.restore(restore);
+			case SchedulingDecision.RestoreRunTimes restore -> this.runTimes.restore(restore);
 			case SchedulingDecision.RaiseTokenFloor raise -> raiseToken(raise.floor());
 		}
 	}
 
+	private void restore(JobSnapshot snapshot) {
+		JobRecord job = this.jobs.restore(snapshot);
+		job.lease().ifPresent((lease) -> this.fleet.hold(job, lease));
+	}
+
 	private JobRecord job(JobId id) {
 		return this.jobs.existing(id);
 	}
@@ -71,7 +84,7 @@
 		JobRecord job = job(place.job());
 		job.place(place.token(), place.placement(), place.at());
 		raiseToken(place.token());
-		this.fleet.hold(job, place.placement().slots());
+		this.fleet.hold(job, lease(job));
 		this.jobs.reindex(job);
 	}
 
@@ -87,7 +100,7 @@
 		WorkerRecord worker = this.fleet.existing(record.worker());
 		lease(job).member(record.worker()).orElseThrow().changePhase(MemberEvents.of(record.report()));
 		if (record.report() == MemberReport.FAILED) {
-			job.recordFailure(new JobRecord.Failure(worker.id(), worker.successes()));
+			job.recordFailure(new JobSnapshot.Failure(worker.id(), worker.successes()));
 			worker.recordFailure();
 		}
 		if (record.report() == MemberReport.FINISHED) {
@@ -122,6 +135,9 @@
 	}
 
 	private void end(JobRecord job, JobOutcome outcome) {
+		if (outcome instanceof JobOutcome.Finished finished) {
+			this.runTimes.learn(job, finished.at());
+		}
 		job.lease().ifPresent((lease) -> releaseEnded(job, lease, outcome.at()));
 		job.end(outcome);
 		this.jobs.ended(job);
@@ -138,9 +154,7 @@
 
 	private void remove(SchedulingDecision.RemoveWorker remove) {
 		for (JobRecord job : this.fleet.existing(remove.worker()).jobs()) {
-			lease(job).member(remove.worker())
-				.filter((member) -> !member.ended())
-				.ifPresent((member) -> member.changePhase("lost"));
+			lease(job).member(remove.worker()).ifPresent(GangMember::detach);
 		}
 		this.fleet.lose(remove.worker());
 	}
@@ -196,6 +210,31 @@
 		return this.regions;
 	}
 
+	/**
+	 * What is known of the run times of each class of jobs.
+	 * @return the samples
+	 */
+	public RunTimeSamples runTimes() {
+		return this.runTimes;
+	}
+
+	/**
+	 * The decisions that recreate this state in a fresh one.
+	 * @return the decisions in order
+	 */
+	public List<SchedulingDecision> replay() {
+		List<SchedulingDecision> decisions = new ArrayList<>();
+		decisions.add(new SchedulingDecision.AdoptDeclarations(this.declarations));
+		decisions.add(new SchedulingDecision.RaiseTokenFloor(new FencingToken(this.highestToken)));
+		this.fleet.workers().forEach((worker) -> decisions.add(worker.snapshot()));
+		this.jobs.all().forEach((job) -> decisions.add(new SchedulingDecision.RestoreJob(job.snapshot())));
+		decisions.addAll(this.regions.replay());
+		decisions.addAll(this.runTimes.replay());
+		this.shortGuarantees.forEach(
+				(account, missing) -> decisions.add(new SchedulingDecision.ReportShortGuarantee(account, missing)));
+		return decisions;
+	}
+
 	/**
 	 * The configuration in force.
 	 * @return all of it
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/Views.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/Views.java
@@ -43,13 +43,19 @@
 		return new SchedulingView(jobs, workers(state), accounts, FragmentationMeasure.of(state));
 	}
 
-	private static SchedulingView.JobView job(SchedulingState state, JobRecord job) {
+	/**
+	 * Copies one job.
+	 * @param state the state
+	 * @param job the job
+	 * @return the copy
+	 */
+	public static SchedulingView.JobView job(SchedulingState state, JobRecord job) {
 		boolean borrowed = job.lease()
 			.map((lease) -> state.regions().covering(job.spec().account(), lease.placement()).isEmpty())
 			.orElse(false);
 		return new SchedulingView.JobView(job.spec(), job.phase(), job.reason(), job.submittedAt(),
-				job.lease().map(GangLease::token), job.lease().map(GangLease::placement), job.reclaims(), borrowed,
-				job.outcome());
+				job.lease().map(GangLease::token), job.lease().map(GangLease::placement), job.kept(), job.reclaims(),
+				borrowed, job.outcome());
 	}
 
 	private static List<SchedulingView.WorkerView> workers(SchedulingState state) {
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/WorkerRecord.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/WorkerRecord.java
@@ -3,13 +3,13 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
-import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.Slot;
 import io.verbenatrack.model.WorkerId;
 import io.verbenatrack.model.WorkerSpec;
+import io.verbenatrack.scheduling.SchedulingDecision;
 
 /**
  * One worker and what it holds; accelerators are bits of a mask, bit 0 the first.
@@ -18,7 +18,7 @@
 
 	private final int index;
 
-	private final Map<JobId, JobRecord> jobs = new LinkedHashMap<>();
+	private final Map<Long, JobRecord> jobs = new TreeMap<>();
 
 	private WorkerSpec spec;
 
@@ -34,13 +34,26 @@
 
 	private int successes;
 
-	private Instant quarantinedUntil = Instant.MIN;
+	private Instant quarantinedUntil = Instant.EPOCH;
 
 	WorkerRecord(int index, WorkerSpec spec) {
 		this.index = index;
 		admit(spec);
 	}
 
+	WorkerRecord(int index, SchedulingDecision.RestoreWorker snapshot) {
+		this(index, snapshot.worker());
+		this.phase = snapshot.phase();
+		this.failuresInARow = snapshot.failuresInARow();
+		this.successes = snapshot.successes();
+		this.quarantinedUntil = snapshot.quarantinedUntil();
+	}
+
+	SchedulingDecision.RestoreWorker snapshot() {
+		return new SchedulingDecision.RestoreWorker(this.spec, this.phase, this.failuresInARow, this.successes,
+				this.quarantinedUntil);
+	}
+
 	void admit(WorkerSpec announced) {
 		this.spec = announced;
 		this.freeMask = AcceleratorMask.first(announced.accelerators());
@@ -53,14 +66,14 @@
 	}
 
 	void hold(JobRecord job, Slot slot) {
-		this.jobs.put(job.id(), job);
+		this.jobs.put(job.sequence(), job);
 		this.freeMask &= ~AcceleratorMask.of(slot);
 		this.freeCores -= slot.accelerators() * job.spec().shape().coresPerAccelerator();
 		this.freeMemoryGib -= slot.accelerators() * job.spec().shape().memoryGibPerAccelerator();
 	}
 
 	void release(JobRecord job, Slot slot) {
-		if (this.jobs.remove(job.id()) == null) {
+		if (this.jobs.remove(job.sequence()) == null) {
 			return;
 		}
 		this.freeMask |= AcceleratorMask.of(slot);
@@ -163,7 +176,7 @@
 	}
 
 	/**
-	 * The jobs that hold accelerators here, oldest placement first.
+	 * The jobs that hold accelerators here, in order of acceptance.
 	 * @return the jobs
 	 */
 	public Collection<JobRecord> jobs() {
