Drive a replica of the control log from a pure protocol core

Cause: jobs, claims and configuration need a log that survives any instance. Change: the Raft core (ReplicaCore) takes events and gives effects; three threads joined by bounded rings drive its protocol, its disk with group commit and its state machine. The log file has checksummed records that carry how much was synced before them, so a torn tail is told from later damage.

Proposal gains Refused; a state machine hears of a raised epoch and may see gaps in the indices.

--- a/control/src/main/java/io/verbenatrack/control/Proposal.java
+++ b/control/src/main/java/io/verbenatrack/control/Proposal.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.Problem;
 
 /**
  * How a proposal ended.
@@ -28,6 +29,15 @@
 
 	}
 
+	/**
+	 * It was not added to the log and never will be.
+	 *
+	 * @param problem why, and what to do
+	 */
+	record Refused(Problem problem) implements Proposal {
+
+	}
+
 	/**
 	 * It was added here, but leadership was lost before it was committed.
 	 */
--- a/control/src/main/java/io/verbenatrack/control/ReplicatedLog.java
+++ b/control/src/main/java/io/verbenatrack/control/ReplicatedLog.java
@@ -11,7 +11,8 @@
 public interface ReplicatedLog extends AutoCloseable {
 
 	/**
-	 * Proposes a command on this replica.
+	 * Proposes a command on this replica. What depends on the future runs on the
+	 * replica's threads unless it is started asynchronously.
 	 * @param command the command
 	 * @return how it ended; never completes exceptionally
 	 */
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/driver/DutyThread.java
@@ -0,0 +1,90 @@
+package io.verbenatrack.control.driver;
+
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+
+/**
+ * A thread with one duty, which sleeps while there is nothing to do.
+ */
+final class DutyThread implements AutoCloseable {
+
+	private final Duty duty;
+
+	private final Thread thread;
+
+	private final Consumer<RuntimeException> onFailure;
+
+	private volatile boolean closed;
+
+	private volatile boolean awake;
+
+	DutyThread(String name, Duty duty, Consumer<RuntimeException> onFailure) {
+		this.duty = duty;
+		this.onFailure = onFailure;
+		this.thread = new Thread(this::run, name);
+		this.thread.setDaemon(true);
+	}
+
+	void start() {
+		this.thread.start();
+	}
+
+	void wake() {
+		if (!this.awake) {
+			this.awake = true;
+			LockSupport.unpark(this.thread);
+		}
+	}
+
+	boolean closed() {
+		return this.closed;
+	}
+
+	private void run() {
+		try {
+			while (!this.closed) {
+				this.awake = false;
+				long idleNanos = this.duty.work();
+				if (idleNanos > 0 && !this.awake && !this.closed) {
+					LockSupport.parkNanos(this, idleNanos);
+				}
+			}
+		}
+		catch (RuntimeException ex) {
+			this.closed = true;
+			this.onFailure.accept(ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		LockSupport.unpark(this.thread);
+		boolean interrupted = false;
+		while (this.thread.isAlive() && Thread.currentThread() != this.thread) {
+			try {
+				this.thread.join();
+			}
+			catch (InterruptedException ex) {
+				interrupted = true;
+			}
+		}
+		if (interrupted) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * What the thread does over and over.
+	 */
+	interface Duty {
+
+		/**
+		 * Does what there is to do.
+		 * @return how long to sleep at most in nanoseconds, 0 to go on at once
+		 */
+		long work();
+
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/driver/Promises.java
@@ -0,0 +1,55 @@
+package io.verbenatrack.control.driver;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.verbenatrack.control.Proposal;
+
+/**
+ * The futures of those who wait for a replica, by their tokens.
+ */
+final class Promises {
+
+	private final AtomicLong tokens = new AtomicLong();
+
+	private final Map<Long, CompletableFuture<Proposal>> proposals = new ConcurrentHashMap<>();
+
+	private final Map<Long, CompletableFuture<Optional<Long>>> confirmations = new ConcurrentHashMap<>();
+
+	long proposal(CompletableFuture<Proposal> future) {
+		long token = this.tokens.incrementAndGet();
+		this.proposals.put(token, future);
+		return token;
+	}
+
+	long confirmation(CompletableFuture<Optional<Long>> future) {
+		long token = this.tokens.incrementAndGet();
+		this.confirmations.put(token, future);
+		return token;
+	}
+
+	void complete(long token, Proposal outcome) {
+		CompletableFuture<Proposal> proposal = this.proposals.remove(token);
+		if (proposal != null) {
+			proposal.complete(outcome);
+			return;
+		}
+		confirm(token, Optional.empty());
+	}
+
+	void confirm(long token, Optional<Long> term) {
+		CompletableFuture<Optional<Long>> confirmation = this.confirmations.remove(token);
+		if (confirmation != null) {
+			confirmation.complete(term);
+		}
+	}
+
+	void abandon() {
+		this.proposals.keySet().forEach((token) -> complete(token, new Proposal.Unknown()));
+		this.confirmations.keySet().forEach((token) -> confirm(token, Optional.empty()));
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/replica/EntryLog.java
@@ -0,0 +1,121 @@
+package io.verbenatrack.control.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.verbenatrack.protocol.control.LogEntry;
+
+/**
+ * The entries that a replica holds in memory: all after a base that a snapshot covers.
+ */
+final class EntryLog {
+
+	/** The term of an index whose entry is not held. */
+	static final long UNKNOWN_TERM = -1;
+
+	private final List<LogEntry> entries = new ArrayList<>();
+
+	private long baseIndex;
+
+	private long baseTerm;
+
+	private long truncations;
+
+	EntryLog(long baseIndex, long baseTerm, List<LogEntry> entries) {
+		this.baseIndex = baseIndex;
+		this.baseTerm = baseTerm;
+		this.entries.addAll(entries);
+	}
+
+	long baseIndex() {
+		return this.baseIndex;
+	}
+
+	long lastIndex() {
+		return this.baseIndex + this.entries.size();
+	}
+
+	long lastTerm() {
+		return termAt(lastIndex());
+	}
+
+	/**
+	 * Counts the truncations, so that a late sync is not taken for one of entries that
+	 * replaced what it covered.
+	 * @return the number of truncations
+	 */
+	long truncations() {
+		return this.truncations;
+	}
+
+	long termAt(long index) {
+		if (index == this.baseIndex) {
+			return this.baseTerm;
+		}
+		if (index < this.baseIndex || index > lastIndex()) {
+			return UNKNOWN_TERM;
+		}
+		return entry(index).getTerm();
+	}
+
+	LogEntry entry(long index) {
+		return this.entries.get((int) (index - this.baseIndex - 1));
+	}
+
+	void append(LogEntry entry) {
+		if (entry.getIndex() != lastIndex() + 1) {
+			throw new IllegalStateException(
+					"Entry " + entry.getIndex() + " does not follow entry " + lastIndex() + ". Report this fault.");
+		}
+		this.entries.add(entry);
+	}
+
+	void truncateFrom(long index) {
+		this.entries.subList((int) (index - this.baseIndex - 1), this.entries.size()).clear();
+		this.truncations++;
+	}
+
+	/**
+	 * Copies entries up to a number of bytes, at least one when there is one.
+	 * @param from the first index
+	 * @param maximumEntries the most entries
+	 * @param maximumBytes the most bytes, unless the first entry alone is larger
+	 * @return the entries
+	 */
+	List<LogEntry> slice(long from, long maximumEntries, int maximumBytes) {
+		List<LogEntry> slice = new ArrayList<>();
+		int bytes = 0;
+		long to = Math.min(lastIndex(), from + maximumEntries - 1);
+		for (long index = from; index <= to; index++) {
+			LogEntry entry = entry(index);
+			bytes += entry.getSerializedSize();
+			if (!slice.isEmpty() && bytes > maximumBytes) {
+				break;
+			}
+			slice.add(entry);
+		}
+		return slice;
+	}
+
+	List<LogEntry> all() {
+		return List.copyOf(this.entries);
+	}
+
+	void dropThrough(long index) {
+		if (index <= this.baseIndex) {
+			return;
+		}
+		long term = termAt(index);
+		this.entries.subList(0, (int) (index - this.baseIndex)).clear();
+		this.baseIndex = index;
+		this.baseTerm = term;
+	}
+
+	void reset(long index, long term) {
+		this.entries.clear();
+		this.baseIndex = index;
+		this.baseTerm = term;
+		this.truncations++;
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/replica/FollowerProgress.java
@@ -0,0 +1,72 @@
+package io.verbenatrack.control.replica;
+
+import io.verbenatrack.protocol.control.ReplicaMember;
+import io.verbenatrack.protocol.control.SnapshotHeader;
+
+/**
+ * What a leader knows of one follower.
+ */
+final class FollowerProgress {
+
+	/** How the leader sends entries. */
+	enum Mode {
+
+		/** One message at a time, until the logs are known to match. */
+		PROBE,
+
+		/** Entries follow each other without waiting for answers. */
+		STREAM,
+
+		/** A snapshot travels, since the entries are gone. */
+		SNAPSHOT
+
+	}
+
+	final ReplicaMember member;
+
+	Mode mode = Mode.PROBE;
+
+	long nextIndex;
+
+	long matchIndex;
+
+	/** When the latest answered message was sent, on the leader's clock. */
+	long answeredNanos;
+
+	boolean answered;
+
+	long sentNanos;
+
+	boolean awaitsAnswer;
+
+	SnapshotHeader snapshot = SnapshotHeader.getDefaultInstance();
+
+	long snapshotOffset;
+
+	FollowerProgress(ReplicaMember member, long nextIndex) {
+		this.member = member;
+		this.nextIndex = nextIndex;
+	}
+
+	void noteAnswer(long sent) {
+		this.awaitsAnswer = false;
+		if (!this.answered || sent - this.answeredNanos > 0) {
+			this.answeredNanos = sent;
+			this.answered = true;
+		}
+	}
+
+	void startSnapshot(SnapshotHeader header) {
+		this.mode = Mode.SNAPSHOT;
+		this.snapshot = header;
+		this.snapshotOffset = 0;
+		this.awaitsAnswer = false;
+	}
+
+	void probeFrom(long index) {
+		this.mode = Mode.PROBE;
+		this.nextIndex = Math.max(index, this.matchIndex + 1);
+		this.awaitsAnswer = false;
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/replica/Formation.java
@@ -0,0 +1,112 @@
+package io.verbenatrack.control.replica;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.protocol.control.Announcement;
+import io.verbenatrack.protocol.control.LogEntry;
+import io.verbenatrack.protocol.control.Membership;
+import io.verbenatrack.protocol.control.ReplicaMember;
+import io.verbenatrack.protocol.control.ReplicaMessage;
+
+/**
+ * Forms a cluster out of replicas with empty disks.
+ *
+ * <p>
+ * The first founder by name writes the first membership, once every other founder has
+ * said that its disk is empty and that it heard this very incarnation. So a founder that
+ * lost its disk later cannot found a second cluster beside the first.
+ */
+final class Formation {
+
+	private static final long FIRST_TERM = 1;
+
+	private final ReplicaState state;
+
+	private final Map<String, ReplicaMember> heard = new TreeMap<>();
+
+	private final Map<String, ReplicaMember> ready = new TreeMap<>();
+
+	private long announcedNanos;
+
+	private boolean announced;
+
+	Formation(ReplicaState state) {
+		this.state = state;
+	}
+
+	void tick() {
+		if (this.state.role != ReplicaRole.UNFORMED) {
+			return;
+		}
+		formWhenReady();
+		long interval = this.state.configuration.timings().announcement().toNanos();
+		if (this.state.role == ReplicaRole.UNFORMED
+				&& (!this.announced || this.state.now - this.announcedNanos >= interval)) {
+			announce();
+		}
+	}
+
+	private void announce() {
+		this.announced = true;
+		this.announcedNanos = this.state.now;
+		Announcement.Builder announcement = Announcement.newBuilder().setMember(this.state.configuration.self());
+		this.heard.values().forEach((member) -> announcement.addHeard(ReplicaId.of(member).text()));
+		for (ReplicaMember founder : this.state.configuration.founders()) {
+			if (!isSelf(founder)) {
+				this.state.send(founder, this.state.message(founder).setAnnouncement(announcement));
+			}
+		}
+	}
+
+	private boolean isSelf(ReplicaMember member) {
+		return member.getInstance().equals(this.state.configuration.self().getInstance());
+	}
+
+	void receive(ReplicaMessage message) {
+		if (this.state.role != ReplicaRole.UNFORMED) {
+			return;
+		}
+		ReplicaMember member = message.getAnnouncement().getMember();
+		this.heard.put(member.getInstance(), member);
+		if (message.getAnnouncement().getHeardList().contains(this.state.self.text())) {
+			this.ready.put(member.getInstance(), member);
+		}
+		formWhenReady();
+	}
+
+	private void formWhenReady() {
+		var founders = this.state.configuration.founders();
+		String first = founders.stream().map(ReplicaMember::getInstance).sorted().findFirst().orElse("");
+		boolean allReady = founders.stream()
+			.allMatch((founder) -> isSelf(founder) || this.ready.containsKey(founder.getInstance()));
+		if (first.equals(this.state.configuration.self().getInstance()) && allReady) {
+			form();
+		}
+	}
+
+	private void form() {
+		Membership.Builder membership = Membership.newBuilder();
+		for (ReplicaMember founder : this.state.configuration.founders()) {
+			membership
+				.addVoters(isSelf(founder) ? this.state.configuration.self() : this.ready.get(founder.getInstance()));
+		}
+		String cluster = this.state.configuration.clusterName() + "-" + Long.toHexString(this.state.random.nextLong());
+		this.state.move(RoleChange.FORMED);
+		this.state.adopt(this.state.hard.toBuilder().setCluster(cluster).setTerm(FIRST_TERM).build());
+		this.state.append(LogEntry.newBuilder().setIndex(1).setTerm(FIRST_TERM).setMembership(membership).build());
+		this.state.noteDurableEnd();
+		this.state.note(ReplicaNotice.FORMED, cluster);
+	}
+
+	/**
+	 * Joins the cluster of a leader that calls this replica by its name.
+	 * @param cluster the cluster
+	 */
+	void join(String cluster) {
+		this.state.move(RoleChange.FORMED);
+		this.state.adopt(this.state.hard.toBuilder().setCluster(cluster).build());
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/replica/LeaderReplication.java
@@ -0,0 +1,175 @@
+package io.verbenatrack.control.replica;
+
+import java.util.List;
+
+import com.google.protobuf.ByteString;
+
+import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.control.ReplicaLimits;
+import io.verbenatrack.protocol.control.AppendReply;
+import io.verbenatrack.protocol.control.AppendRequest;
+import io.verbenatrack.protocol.control.LogEntry;
+import io.verbenatrack.protocol.control.ReplicaMessage;
+import io.verbenatrack.protocol.control.SnapshotChunk;
+import io.verbenatrack.protocol.control.SnapshotHeader;
+import io.verbenatrack.protocol.control.SnapshotReply;
+
+/**
+ * Sends entries and snapshots to the followers.
+ */
+final class LeaderReplication {
+
+	private final ReplicaState state;
+
+	private final Leadership leadership;
+
+	LeaderReplication(ReplicaState state, Leadership leadership) {
+		this.state = state;
+		this.leadership = leadership;
+	}
+
+	/** Sends each follower what it lacks, or a heartbeat when one is due. */
+	void replicate() {
+		for (FollowerProgress follower : this.leadership.followers()) {
+			switch (follower.mode) {
+				case PROBE -> probe(follower);
+				case STREAM -> stream(follower);
+				case SNAPSHOT -> sendSnapshot(follower);
+			}
+		}
+	}
+
+	private boolean heartbeatDue(FollowerProgress follower) {
+		long interval = this.state.configuration.timings().heartbeat().toNanos();
+		return this.state.now - follower.sentNanos >= interval || follower.sentNanos == 0;
+	}
+
+	private void probe(FollowerProgress follower) {
+		if (follower.awaitsAnswer && !heartbeatDue(follower)) {
+			return;
+		}
+		if (this.state.log.termAt(follower.nextIndex - 1) == EntryLog.UNKNOWN_TERM) {
+			follower.startSnapshot(this.state.snapshot);
+			sendSnapshot(follower);
+			return;
+		}
+		sendEntries(follower, false);
+		follower.awaitsAnswer = true;
+	}
+
+	private void stream(FollowerProgress follower) {
+		if (this.state.log.termAt(follower.nextIndex - 1) == EntryLog.UNKNOWN_TERM) {
+			follower.startSnapshot(this.state.snapshot);
+			sendSnapshot(follower);
+			return;
+		}
+		boolean pending = follower.nextIndex <= this.state.log.lastIndex();
+		long window = this.state.configuration.limits().unacknowledgedEntries();
+		boolean room = follower.nextIndex - follower.matchIndex <= window;
+		if ((pending && room) || heartbeatDue(follower)) {
+			sendEntries(follower, room);
+		}
+	}
+
+	private void sendEntries(FollowerProgress follower, boolean advance) {
+		ReplicaLimits limits = this.state.configuration.limits();
+		boolean full = follower.mode == FollowerProgress.Mode.STREAM && !advance;
+		do {
+			List<LogEntry> entries = full ? List.of()
+					: this.state.log.slice(follower.nextIndex, limits.unacknowledgedEntries(), limits.messageBytes());
+			sendAppend(follower, entries);
+			if (advance) {
+				follower.nextIndex += entries.size();
+			}
+		}
+		while (advance && follower.nextIndex <= this.state.log.lastIndex()
+				&& follower.nextIndex - follower.matchIndex <= limits.unacknowledgedEntries());
+	}
+
+	private void sendAppend(FollowerProgress follower, List<LogEntry> entries) {
+		AppendRequest request = AppendRequest.newBuilder()
+			.setPreviousIndex(follower.nextIndex - 1)
+			.setPreviousTerm(this.state.log.termAt(follower.nextIndex - 1))
+			.addAllEntries(entries)
+			.setCommitIndex(this.state.commitIndex)
+			.setSentNanos(this.state.now)
+			.build();
+		this.state.send(follower.member, this.state.message(follower.member).setAppendRequest(request));
+		follower.sentNanos = this.state.now;
+	}
+
+	private void sendSnapshot(FollowerProgress follower) {
+		if (follower.awaitsAnswer && !heartbeatDue(follower)) {
+			return;
+		}
+		String name = ReplicaId.of(follower.member).text();
+		this.state.outbox.add(new ReplicaEffect.ReadChunk(name, follower.snapshot, follower.snapshotOffset));
+		follower.sentNanos = this.state.now;
+		follower.awaitsAnswer = true;
+	}
+
+	void chunkRead(String to, SnapshotHeader header, long offset, ByteString data) {
+		this.leadership.follower(ReplicaId.parse(to))
+			.filter((follower) -> follower.mode == FollowerProgress.Mode.SNAPSHOT)
+			.filter((follower) -> follower.snapshot.getIndex() == header.getIndex())
+			.filter((follower) -> follower.snapshotOffset == offset)
+			.ifPresent((follower) -> {
+				if (header.getChecksum() != follower.snapshot.getChecksum()) {
+					follower.startSnapshot(this.state.snapshot);
+					return;
+				}
+				sendChunk(follower, offset, data);
+			});
+	}
+
+	private void sendChunk(FollowerProgress follower, long offset, ByteString data) {
+		SnapshotChunk chunk = SnapshotChunk.newBuilder()
+			.setHeader(follower.snapshot)
+			.setOffset(offset)
+			.setData(data)
+			.setSentNanos(this.state.now)
+			.build();
+		this.state.send(follower.member, this.state.message(follower.member).setSnapshotChunk(chunk));
+	}
+
+	void receive(ReplicaMessage message, AppendReply reply) {
+		this.leadership.follower(ReplicaId.parse(message.getFrom())).ifPresent((follower) -> {
+			follower.noteAnswer(reply.getSentNanos());
+			if (reply.getAccepted()) {
+				accepted(follower, reply.getIndex());
+			}
+			else if (reply.getRefusedIndex() > follower.matchIndex && follower.mode != FollowerProgress.Mode.SNAPSHOT) {
+				follower.probeFrom(Math.min(reply.getIndex() + 1, reply.getRefusedIndex()));
+			}
+			this.leadership.renewLease();
+			this.leadership.advanceCommit();
+		});
+	}
+
+	private void accepted(FollowerProgress follower, long index) {
+		follower.matchIndex = Math.max(follower.matchIndex, index);
+		follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1);
+		if (follower.mode == FollowerProgress.Mode.PROBE) {
+			follower.mode = FollowerProgress.Mode.STREAM;
+			follower.nextIndex = follower.matchIndex + 1;
+		}
+	}
+
+	void receive(ReplicaMessage message, SnapshotReply reply) {
+		this.leadership.follower(ReplicaId.parse(message.getFrom())).ifPresent((follower) -> {
+			follower.noteAnswer(reply.getSentNanos());
+			this.leadership.renewLease();
+			if (follower.mode != FollowerProgress.Mode.SNAPSHOT || follower.snapshot.getIndex() != reply.getIndex()) {
+				return;
+			}
+			if (reply.getInstalled()) {
+				follower.matchIndex = Math.max(follower.matchIndex, reply.getIndex());
+				follower.probeFrom(follower.matchIndex + 1);
+				this.leadership.advanceCommit();
+				return;
+			}
+			follower.snapshotOffset = reply.getNextOffset();
+		});
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/replica/MembershipRule.java
@@ -0,0 +1,69 @@
+package io.verbenatrack.control.replica;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.protocol.control.Membership;
+import io.verbenatrack.protocol.control.ReplicaMember;
+
+/**
+ * Decides whether a membership may follow the present one: one vote more or fewer, and a
+ * new voter is a learner that has caught up (Ongaro, 2014, sections 4.1 and 4.2.1).
+ */
+final class MembershipRule {
+
+	private final ReplicaState state;
+
+	private final Leadership leadership;
+
+	MembershipRule(ReplicaState state, Leadership leadership) {
+		this.state = state;
+		this.leadership = leadership;
+	}
+
+	Optional<Refusal> refuse(Membership next) {
+		Membership present = this.state.membership();
+		if (!this.leadership.established() || this.state.members.currentIndex() > this.state.commitIndex) {
+			return Optional.of(Refusal.MEMBERSHIP_CHANGE_PENDING);
+		}
+		if (next.getVotersCount() + next.getLearnersCount() > this.state.configuration.limits().maximumReplicas()) {
+			return Optional.of(Refusal.TOO_MANY_REPLICAS);
+		}
+		Set<ReplicaId> before = ids(present.getVotersList());
+		Set<ReplicaId> after = ids(next.getVotersList());
+		if (!after.contains(this.state.self)) {
+			return Optional.of(Refusal.LEADER_REMOVED);
+		}
+		Set<ReplicaId> added = without(after, before);
+		Set<ReplicaId> removed = without(before, after);
+		boolean learnersReady = added.stream().allMatch(this::caughtUp);
+		return (added.size() + removed.size() <= 1 && learnersReady) ? Optional.empty()
+				: Optional.of(Refusal.MEMBERSHIP_CHANGE_TOO_LARGE);
+	}
+
+	private boolean caughtUp(ReplicaId replica) {
+		return this.leadership.follower(replica)
+			.filter((progress) -> progress.matchIndex >= this.state.commitIndex && progress.matchIndex > 0)
+			.isPresent();
+	}
+
+	private static Set<ReplicaId> ids(List<ReplicaMember> members) {
+		return members.stream().map(ReplicaId::of).collect(Collectors.toSet());
+	}
+
+	private static Set<ReplicaId> without(Set<ReplicaId> all, Set<ReplicaId> dropped) {
+		Set<ReplicaId> left = new HashSet<>(all);
+		left.removeAll(dropped);
+		return left;
+	}
+
+	static String describe(Membership membership) {
+		return "voters " + ids(membership.getVotersList()).stream().sorted().toList() + ", learners "
+				+ ids(membership.getLearnersList()).stream().sorted().toList();
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaConfiguration.java
@@ -0,0 +1,26 @@
+package io.verbenatrack.control.replica;
+
+import java.util.List;
+
+import io.verbenatrack.control.ReplicaLimits;
+import io.verbenatrack.control.ReplicaTimings;
+import io.verbenatrack.protocol.control.ReplicaMember;
+
+/**
+ * What a replica knows from its settings and its data folder.
+ *
+ * @param clusterName the name that all replicas of a cluster share
+ * @param self this replica
+ * @param founders the instances that form the cluster, without their incarnations; an
+ * instance that is none of them joins later
+ * @param timings how long it waits
+ * @param limits what it holds at most
+ */
+public record ReplicaConfiguration(String clusterName, ReplicaMember self, List<ReplicaMember> founders,
+		ReplicaTimings timings, ReplicaLimits limits) {
+
+	public ReplicaConfiguration {
+		founders = List.copyOf(founders);
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/storage/Folders.java
@@ -0,0 +1,70 @@
+package io.verbenatrack.control.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * File operations that last once they return.
+ */
+final class Folders {
+
+	/** The end of the name of a file that is not whole yet. */
+	static final String TEMPORARY = ".tmp";
+
+	private Folders() {
+	}
+
+	static void sync(Path folder) throws IOException {
+		try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+			channel.force(true);
+		}
+	}
+
+	static void writeWhole(Path file, ByteBuffer... parts) throws IOException {
+		Path temporary = file.resolveSibling(file.getFileName() + TEMPORARY);
+		try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+				StandardOpenOption.TRUNCATE_EXISTING)) {
+			for (ByteBuffer part : parts) {
+				writeFully(channel, part);
+			}
+			channel.force(true);
+		}
+		publish(temporary, file);
+	}
+
+	static void publish(Path temporary, Path file) throws IOException {
+		Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+		sync(file.getParent());
+	}
+
+	static void writeFully(FileChannel channel, ByteBuffer buffer) throws IOException {
+		while (buffer.hasRemaining()) {
+			channel.write(buffer);
+		}
+	}
+
+	/**
+	 * The files of a folder whose names begin and end in a certain way.
+	 * @param folder the folder
+	 * @param prefix how the names begin
+	 * @param suffix how the names end
+	 * @return the files, sorted by name
+	 * @throws IOException when the folder cannot be read
+	 */
+	static List<Path> list(Path folder, String prefix, String suffix) throws IOException {
+		try (Stream<Path> files = Files.list(folder)) {
+			return files.filter((file) -> file.getFileName().toString().startsWith(prefix))
+				.filter((file) -> file.getFileName().toString().endsWith(suffix))
+				.sorted()
+				.toList();
+		}
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/storage/Identity.java
@@ -0,0 +1,99 @@
+package io.verbenatrack.control.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+
+import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.model.InstanceId;
+
+/**
+ * Holds a data folder for one process and knows which replica it belongs to.
+ */
+public final class Identity implements AutoCloseable {
+
+	private static final String FILE = "replica";
+
+	private static final String LOCK = "lock";
+
+	private final FileChannel lockChannel;
+
+	private final ReplicaId replica;
+
+	private Identity(FileChannel lockChannel, ReplicaId replica) {
+		this.lockChannel = lockChannel;
+		this.replica = replica;
+	}
+
+	/**
+	 * Takes hold of a data folder, creating it when it is not there.
+	 * @param folder the data folder
+	 * @param instance this instance
+	 * @return the hold on it
+	 * @throws IOException when another process holds it, or it is another instance's
+	 */
+	public static Identity open(Path folder, InstanceId instance) throws IOException {
+		Files.createDirectories(folder);
+		FileChannel channel = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE,
+				StandardOpenOption.WRITE);
+		try {
+			requireLock(folder, channel);
+			return new Identity(channel, readOrCreate(folder, instance));
+		}
+		catch (IOException ex) {
+			channel.close();
+			throw ex;
+		}
+	}
+
+	private static void requireLock(Path folder, FileChannel channel) throws IOException {
+		FileLock lock = null;
+		try {
+			lock = channel.tryLock();
+		}
+		catch (OverlappingFileLockException ex) {
+			lock = null;
+		}
+		if (lock == null) {
+			throw new StorageException("Another process holds the data folder " + folder + ".",
+					"Stop it, or give this instance a folder of its own.");
+		}
+	}
+
+	// Draws a new incarnation also when only the log is gone, as its votes are.
+	private static ReplicaId readOrCreate(Path folder, InstanceId instance) throws IOException {
+		Path file = folder.resolve(FILE);
+		if (!Files.exists(file) || LogFolder.isEmpty(folder)) {
+			ReplicaId created = new ReplicaId(instance, Long.toHexString(new SecureRandom().nextLong()));
+			Folders.writeWhole(file, ByteBuffer.wrap(created.text().getBytes(StandardCharsets.UTF_8)));
+			return created;
+		}
+		ReplicaId found = ReplicaId.parse(Files.readString(file));
+		if (!found.instance().equals(instance)) {
+			throw new StorageException("The data folder " + folder + " belongs to instance " + found.instance()
+					+ ", this is " + instance + ".", "Correct the instance or the data folder in the settings.");
+		}
+		return found;
+	}
+
+	/**
+	 * The replica that the folder belongs to.
+	 * @return the replica
+	 */
+	public ReplicaId replica() {
+		return this.replica;
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.lockChannel.close();
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/storage/LogReader.java
@@ -0,0 +1,109 @@
+package io.verbenatrack.control.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.function.Consumer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+
+import io.verbenatrack.protocol.control.LogRecord;
+
+/**
+ * Reads a log file: a tail torn by a crash is left out, damage before it is refused.
+ */
+final class LogReader {
+
+	private static final long NOT_WHOLE = -1;
+
+	private LogReader() {
+	}
+
+	/**
+	 * Reads all whole records.
+	 * @param file the log file
+	 * @param records takes each record
+	 * @return how many bytes at the end were left out
+	 * @throws StorageException when the file is damaged before its tail
+	 * @throws IOException when the file cannot be read
+	 */
+	static long read(Path file, Consumer<LogRecord> records) throws IOException {
+		ByteBuffer buffer = load(file);
+		LogFormat.requireHeader(file, buffer);
+		while (buffer.hasRemaining()) {
+			int start = buffer.position();
+			if (syncedBytesAt(buffer, start) == NOT_WHOLE) {
+				requireTornTail(file, buffer, start);
+				return buffer.limit() - start;
+			}
+			int length = buffer.getInt(start);
+			ByteBuffer message = buffer.slice(start + LogFormat.RECORD_HEADER_BYTES, length);
+			records.accept(parse(file, start, message));
+			buffer.position(start + LogFormat.RECORD_HEADER_BYTES + length);
+		}
+		return 0;
+	}
+
+	private static ByteBuffer load(Path file) throws IOException {
+		try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+			ByteBuffer buffer = ByteBuffer.allocate(Math.toIntExact(Files.size(file)));
+			int read = 0;
+			while (buffer.hasRemaining() && read >= 0) {
+				read = channel.read(buffer);
+			}
+			return buffer.flip();
+		}
+	}
+
+	private static LogRecord parse(Path file, int start, ByteBuffer message) throws StorageException {
+		try {
+			return LogRecord.parseFrom(message);
+		}
+		catch (InvalidProtocolBufferException ex) {
+			throw damaged(file, start);
+		}
+	}
+
+	/**
+	 * Checks whether a whole record begins at a position.
+	 * @param buffer the file
+	 * @param position the position
+	 * @return how much of the file was synced when it was written, or {@value #NOT_WHOLE}
+	 * when there is no whole record
+	 */
+	private static long syncedBytesAt(ByteBuffer buffer, int position) {
+		int left = buffer.limit() - position - LogFormat.RECORD_HEADER_BYTES;
+		if (left < 0) {
+			return NOT_WHOLE;
+		}
+		int length = buffer.getInt(position);
+		if (length <= 0 || length > left || length > LogFormat.MAXIMUM_MESSAGE_BYTES) {
+			return NOT_WHOLE;
+		}
+		long syncedBytes = buffer.getLong(position + 2 * Integer.BYTES);
+		if (syncedBytes < 0 || syncedBytes > position) {
+			return NOT_WHOLE;
+		}
+		ByteBuffer message = buffer.slice(position + LogFormat.RECORD_HEADER_BYTES, length);
+		int checksum = buffer.getInt(position + Integer.BYTES);
+		return (LogFormat.checksum(syncedBytes, message) == checksum) ? syncedBytes : NOT_WHOLE;
+	}
+
+	// Looks for a later record that was written when the bad one was synced already.
+	private static void requireTornTail(Path file, ByteBuffer buffer, int bad) throws StorageException {
+		for (int position = bad + 1; position < buffer.limit(); position++) {
+			if (syncedBytesAt(buffer, position) > bad) {
+				throw damaged(file, bad);
+			}
+		}
+	}
+
+	private static StorageException damaged(Path file, int position) {
+		return new StorageException("The log " + file + " is damaged at byte " + position + ", before its end.",
+				"Move the data folder away and start with an empty one; the other replicas fill it.");
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/storage/SnapshotFolder.java
@@ -0,0 +1,206 @@
+package io.verbenatrack.control.storage;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.Optional;
+import java.util.zip.CRC32C;
+
+import com.google.protobuf.ByteString;
+
+import io.verbenatrack.protocol.control.SnapshotHeader;
+
+/**
+ * The snapshots of a data folder: a header, delimited by its length, then the state.
+ */
+public final class SnapshotFolder {
+
+	/** The version that this program writes. */
+	public static final int VERSION = 1;
+
+	private static final String PREFIX = "snapshot-";
+
+	private static final String SUFFIX = ".state";
+
+	private static final String INCOMING = ".part";
+
+	/** The latest one, and the one before it for a transfer that is under way. */
+	private static final int KEPT = 2;
+
+	private final Path folder;
+
+	/**
+	 * Opens the snapshots of a folder.
+	 * @param folder the data folder
+	 */
+	public SnapshotFolder(Path folder) {
+		this.folder = folder;
+	}
+
+	/**
+	 * Reads what the latest snapshot stands for.
+	 * @return its header; index 0 when there is none
+	 * @throws IOException when it cannot be read or is of a newer format
+	 */
+	public SnapshotHeader latest() throws IOException {
+		List<Path> files = Folders.list(this.folder, PREFIX, SUFFIX);
+		if (files.isEmpty()) {
+			return SnapshotHeader.getDefaultInstance();
+		}
+		return header(files.get(files.size() - 1));
+	}
+
+	private static SnapshotHeader header(Path file) throws IOException {
+		try (InputStream input = Files.newInputStream(file)) {
+			SnapshotHeader header = SnapshotHeader.parseDelimitedFrom(input);
+			requireKnownFormat(file, header);
+			return header;
+		}
+	}
+
+	private static void requireKnownFormat(Path file, SnapshotHeader header) throws StorageException {
+		if (header == null || header.getFormat() == 0) {
+			throw new StorageException("The snapshot " + file + " is damaged.",
+					"Move the data folder away and start with an empty one; the other replicas fill it.");
+		}
+		if (header.getFormat() > VERSION) {
+			throw new StorageException("The snapshot " + file + " has format " + header.getFormat()
+					+ ", this program knows formats up to " + VERSION + ".", "Start the newer release that wrote it.");
+		}
+	}
+
+	/**
+	 * Writes a snapshot and makes it last.
+	 * @param described what it stands for, without length and checksum
+	 * @param state the state
+	 * @return the whole header
+	 * @throws IOException when it cannot be written
+	 */
+	public SnapshotHeader save(SnapshotHeader described, byte[] state) throws IOException {
+		SnapshotHeader header = described.toBuilder()
+			.setFormat(VERSION)
+			.setLength(state.length)
+			.setChecksum(checksum(ByteBuffer.wrap(state)))
+			.build();
+		Folders.writeWhole(fileOf(header), ByteBuffer.wrap(delimited(header)), ByteBuffer.wrap(state));
+		dropOld();
+		return header;
+	}
+
+	/**
+	 * Reads a whole snapshot.
+	 * @param header which
+	 * @return the state
+	 * @throws IOException when it is missing or damaged
+	 */
+	public byte[] load(SnapshotHeader header) throws IOException {
+		byte[] state = read(fileOf(header), delimited(header).length, (int) header.getLength());
+		if (state.length != header.getLength() || checksum(ByteBuffer.wrap(state)) != header.getChecksum()) {
+			throw new StorageException("The snapshot " + fileOf(header) + " is damaged.",
+					"Move the data folder away and start with an empty one; the other replicas fill it.");
+		}
+		return state;
+	}
+
+	/**
+	 * Reads a part of a snapshot.
+	 * @param header which
+	 * @param offset where the part begins
+	 * @param bytes how long it is at most
+	 * @return the part, or empty when the snapshot is no longer there
+	 * @throws IOException when it cannot be read
+	 */
+	public Optional<ByteString> readPart(SnapshotHeader header, long offset, int bytes) throws IOException {
+		Path file = fileOf(header);
+		if (!Files.exists(file)) {
+			return Optional.empty();
+		}
+		int length = (int) Math.min(bytes, header.getLength() - offset);
+		return Optional.of(ByteString.copyFrom(read(file, delimited(header).length + offset, length)));
+	}
+
+	/**
+	 * Adds a part to a snapshot that another replica sends.
+	 * @param header which
+	 * @param offset where the part begins; ignored unless it is where the file ends
+	 * @param data the part
+	 * @return where the next part has to begin; the length of the state when it is whole,
+	 * checked and lasts
+	 * @throws IOException when it cannot be written
+	 */
+	public long writePart(SnapshotHeader header, long offset, ByteString data) throws IOException {
+		requireKnownFormat(fileOf(header), header);
+		if (Files.exists(fileOf(header))) {
+			return header.getLength();
+		}
+		Path incoming = this.folder.resolve(fileOf(header).getFileName() + "." + header.getChecksum() + INCOMING);
+		long length = appendPart(incoming, offset, data);
+		if (length < header.getLength()) {
+			return length;
+		}
+		byte[] state = Files.readAllBytes(incoming);
+		Files.delete(incoming);
+		if (checksum(ByteBuffer.wrap(state)) != header.getChecksum()) {
+			return 0;
+		}
+		Folders.writeWhole(fileOf(header), ByteBuffer.wrap(delimited(header)), ByteBuffer.wrap(state));
+		dropOld();
+		return header.getLength();
+	}
+
+	private static long appendPart(Path incoming, long offset, ByteString data) throws IOException {
+		try (FileChannel channel = FileChannel.open(incoming, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+				StandardOpenOption.APPEND)) {
+			if (channel.size() == offset) {
+				Folders.writeFully(channel, data.asReadOnlyByteBuffer());
+			}
+			return channel.size();
+		}
+	}
+
+	private void dropOld() throws IOException {
+		List<Path> files = Folders.list(this.folder, PREFIX, SUFFIX);
+		for (Path file : files.subList(0, Math.max(0, files.size() - KEPT))) {
+			Files.delete(file);
+		}
+		for (Path part : Folders.list(this.folder, PREFIX, INCOMING)) {
+			Files.delete(part);
+		}
+	}
+
+	private Path fileOf(SnapshotHeader header) {
+		return this.folder.resolve(PREFIX + "%016d-%016d".formatted(header.getIndex(), header.getTerm()) + SUFFIX);
+	}
+
+	private static byte[] delimited(SnapshotHeader header) throws IOException {
+		ByteArrayOutputStream output = new ByteArrayOutputStream();
+		header.writeDelimitedTo(output);
+		return output.toByteArray();
+	}
+
+	private static byte[] read(Path file, long position, int length) throws IOException {
+		ByteBuffer buffer = ByteBuffer.allocate(Math.max(0, length));
+		try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+			int read = 0;
+			while (buffer.hasRemaining() && read >= 0) {
+				read = channel.read(buffer, position + buffer.position());
+			}
+		}
+		byte[] content = new byte[buffer.position()];
+		buffer.flip().get(content);
+		return content;
+	}
+
+	private static int checksum(ByteBuffer state) {
+		CRC32C crc = new CRC32C();
+		crc.update(state);
+		return (int) crc.getValue();
+	}
+
+}
--- /dev/null
+++ b/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
@@ -0,0 +1,116 @@
+package io.verbenatrack.control.driver;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.control.Proposal;
+import io.verbenatrack.control.ReplicaLimits;
+import io.verbenatrack.control.ReplicaPeer;
+import io.verbenatrack.control.ReplicaSettings;
+import io.verbenatrack.control.ReplicaTimings;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.MonotonicClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Tests for {@link Replica} with one replica on a real disk.
+ */
+public class ReplicaTests {
+
+	private static final ReplicaPeer SELF = new ReplicaPeer(new InstanceId("one"), "127.0.0.1", 1);
+
+	private Path folder;
+
+	@BeforeMethod
+	void createFolder() throws IOException {
+		this.folder = Files.createTempDirectory("replica");
+	}
+
+	private Replica start(AppendingMachine machine, ReplicaLimits limits) throws IOException {
+		ReplicaSettings settings = new ReplicaSettings("test", SELF, List.of(SELF), this.folder, ReplicaTimings.DEFAULT,
+				limits, true);
+		Replica replica = Replica.start(settings, machine, ReplicaTransport.none(), (notice, detail) -> {
+		}, MonotonicClock.system());
+		await().atMost(Duration.ofSeconds(10)).until(replica::leads);
+		return replica;
+	}
+
+	private static Proposal propose(Replica replica, String command) throws Exception {
+		return replica.propose(command.getBytes(StandardCharsets.UTF_8)).get(10, TimeUnit.SECONDS);
+	}
+
+	@Test
+	public void commitsAndAppliesInOrder() throws Exception {
+		AppendingMachine machine = new AppendingMachine();
+		try (Replica replica = start(machine, ReplicaLimits.DEFAULT)) {
+			assertThat(propose(replica, "a")).isInstanceOf(Proposal.Committed.class);
+			Proposal second = propose(replica, "b");
+			assertThat(second).isInstanceOfSatisfying(Proposal.Committed.class,
+					(committed) -> assertThat(committed.result()).asString().isEqualTo("2"));
+			assertThat(replica.confirmLeadership().get(10, TimeUnit.SECONDS)).contains(replica.term());
+			assertThat(machine.text()).isEqualTo("a b ");
+		}
+	}
+
+	@Test
+	public void keepsEverythingOverARestart() throws Exception {
+		try (Replica replica = start(new AppendingMachine(), ReplicaLimits.DEFAULT)) {
+			propose(replica, "a");
+			propose(replica, "b");
+		}
+		AppendingMachine restarted = new AppendingMachine();
+		try (Replica replica = start(restarted, ReplicaLimits.DEFAULT)) {
+			assertThat(restarted.text()).isEqualTo("a b ");
+			propose(replica, "c");
+			assertThat(restarted.text()).isEqualTo("a b c ");
+		}
+	}
+
+	@Test
+	public void restartsFromASnapshotAndTheEntriesAfterIt() throws Exception {
+		ReplicaLimits limits = ReplicaLimits.DEFAULT.withSnapshots(10, 3);
+		AppendingMachine before = new AppendingMachine();
+		try (Replica replica = start(before, limits)) {
+			for (int i = 0; i < 57; i++) {
+				propose(replica, "c" + i);
+			}
+		}
+		AppendingMachine restarted = new AppendingMachine();
+		try (Replica replica = start(restarted, limits)) {
+			assertThat(restarted.text()).isEqualTo(before.text());
+			assertThat(replica.appliedIndex()).isGreaterThan(57);
+		}
+	}
+
+	@Test
+	public void refusesACommandOverTheLimitAndGoesOn() throws Exception {
+		try (Replica replica = start(new AppendingMachine(), ReplicaLimits.DEFAULT)) {
+			byte[] large = new byte[ReplicaLimits.DEFAULT.commandBytes() + 1];
+			assertThat(replica.propose(large).get(10, TimeUnit.SECONDS)).isInstanceOf(Proposal.Refused.class);
+			assertThat(propose(replica, "a")).isInstanceOf(Proposal.Committed.class);
+		}
+	}
+
+	@Test
+	public void secondProcessOnTheSameFolderIsRefused() throws Exception {
+		try (Replica replica = start(new AppendingMachine(), ReplicaLimits.DEFAULT)) {
+			assertThat(replica.leads()).isTrue();
+			assertThatThrownBy(() -> start(new AppendingMachine(), ReplicaLimits.DEFAULT))
+				.isInstanceOf(IOException.class)
+				.hasMessageContaining("Another process holds the data folder")
+				.hasMessageContaining("Stop it");
+		}
+	}
+
+}
