Write numbered events, metrics and traces

Cause: operators search for event numbers, keep old dashboards and want a span for each hop. Conclusion: modules add their events in their number range and run tools/generate-docs.

--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -2,11 +2,76 @@
 
 /**
  * The events that the system logs; docs/EVENTS.md is generated from here.
+ *
+ * <p>
+ * Each module numbers its events in its own range: server 1001 to 1999, control 2001 to
+ * 2999, scheduling 3001 to 3999, routing 4001 to 4999, settings and command line 5001 to
+ * 5999. After adding an event run tools/generate-docs.
  */
 public enum LogEvent {
 
 	/** An instance is ready to serve. */
-	INSTANCE_READY(1001, System.Logger.Level.INFO, "The instance is ready.", "Nothing to do.");
+	INSTANCE_READY(1001, System.Logger.Level.INFO, "The instance is ready.", "Nothing to do."),
+
+	/** An instance begins its graceful shutdown. */
+	INSTANCE_STOPPING(1002, System.Logger.Level.INFO, "The instance stops and finishes what is in flight.",
+			"Nothing to do."),
+
+	/** An instance ended its graceful shutdown. */
+	INSTANCE_STOPPED(1003, System.Logger.Level.INFO, "The instance has stopped.", "Nothing to do."),
+
+	/** A graceful shutdown ran out of time. */
+	SHUTDOWN_DEADLINE_PASSED(1004, System.Logger.Level.WARNING,
+			"Requests were still in flight at the shutdown deadline.",
+			"Raise timeouts.shutdown-deadline over the longest request."),
+
+	/** An accepted configuration took effect on this instance. */
+	CONFIGURATION_APPLIED(1010, System.Logger.Level.INFO, "A configuration is in force.", "Nothing to do."),
+
+	/** The configuration lease could not be renewed. */
+	ADMISSION_STOPPED(1011, System.Logger.Level.WARNING, "The configuration lease ran out, so no new work is admitted.",
+			"Check the links to the control replicas."),
+
+	/** The configuration lease was renewed after a gap. */
+	ADMISSION_RESUMED(1012, System.Logger.Level.INFO, "The configuration lease is renewed, so work is admitted again.",
+			"Nothing to do."),
+
+	/** A worker that was not known announced itself. */
+	WORKER_ANNOUNCED(1020, System.Logger.Level.INFO, "A worker announced itself.", "Nothing to do."),
+
+	/** A worker did not renew its lease. */
+	WORKER_LOST(1021, System.Logger.Level.WARNING, "The lease of a worker ran out; its gangs stop and wait again.",
+			"Check the worker and its links."),
+
+	/** An instance could not reach a worker. */
+	WORKER_CALL_FAILED(1022, System.Logger.Level.WARNING, "A call to a worker failed and is tried again.",
+			"Check the worker's address and its links."),
+
+	/** A target that was not known announced itself. */
+	TARGET_ANNOUNCED(1030, System.Logger.Level.INFO, "A target announced itself.", "Nothing to do."),
+
+	/** A target did not renew its lease. */
+	TARGET_LOST(1031, System.Logger.Level.WARNING, "The lease of a target ran out; nothing new is sent to it.",
+			"Check the target and its links."),
+
+	/** A connection gave no reply within its deadline. */
+	TARGET_SILENT(1032, System.Logger.Level.WARNING, "A connection to a target is silent; a new one is tried.",
+			"Check what tracks connections between the two."),
+
+	/** Nobody can say whether a request ran. */
+	REQUEST_OUTCOME_UNKNOWN(1040, System.Logger.Level.WARNING, "A request may have run; its caller was told so.",
+			"Ask again with the same request id."),
+
+	/** An unexpected error reached the loop of a thread. */
+	THREAD_FAILED(1050, System.Logger.Level.ERROR, "A duty's thread met an error and goes on with the next item.",
+			"Report it with the fields of this event."),
+
+	/** Traces go to the log and a span ended. */
+	TRACE_SPAN(1900, System.Logger.Level.INFO, "A span ended.",
+			"Nothing to do; set telemetry.traces to none to silence it."),
+
+	/** A local run started its instance and stand-ins. */
+	EXAMPLE_STARTED(5001, System.Logger.Level.INFO, "The local example started.", "Nothing to do.");
 
 	private final int number;
 
--- /dev/null
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
@@ -0,0 +1,192 @@
+package io.verbenatrack.telemetry;
+
+import java.util.List;
+
+/**
+ * The metrics that the system exposes; docs/METRICS.md is generated from here.
+ *
+ * <p>
+ * Operators keep old dashboards, so a name, label or unit never changes; a golden file
+ * guards them. After adding a metric run tools/generate-docs.
+ */
+public enum MetricName {
+
+	/** Requests that ended, by outcome: answered, not-run or unknown. */
+	REQUESTS(Type.COUNTER, "verbenatrack.requests", "",
+			"Requests that ended, by outcome: answered, not-run or unknown.", "service", "outcome"),
+
+	/** Time from a request's arrival to its outcome. */
+	REQUEST_TIME(Type.TIMER, "verbenatrack.request.time", "seconds", "Time from a request's arrival to its outcome.",
+			"service"),
+
+	/** Further dispatches of a request after its first. */
+	REQUEST_RETRIES(Type.COUNTER, "verbenatrack.request.retries", "",
+			"Further dispatches of a request after its first.", "service"),
+
+	/** Requests that have no outcome yet. */
+	REQUESTS_IN_FLIGHT(Type.GAUGE, "verbenatrack.requests.in.flight", "", "Requests that have no outcome yet."),
+
+	/** Requests that wait for a target. */
+	REQUESTS_QUEUED(Type.GAUGE, "verbenatrack.requests.queued", "", "Requests that wait for a target."),
+
+	/** Answers that matched no attempt, or failed the length or digest check. */
+	STALE_ANSWERS(Type.COUNTER, "verbenatrack.stale.answers", "",
+			"Answers that matched no attempt, or failed the length or digest check.", "service"),
+
+	/** Targets whose lease is in force. */
+	TARGETS(Type.GAUGE, "verbenatrack.targets", "", "Targets whose lease is in force.", "service"),
+
+	/** Connections replaced since they gave no reply. */
+	SILENT_CONNECTIONS(Type.COUNTER, "verbenatrack.silent.connections", "",
+			"Connections replaced since they gave no reply.", "service"),
+
+	/** Jobs accepted. */
+	JOBS_SUBMITTED(Type.COUNTER, "verbenatrack.jobs.submitted", "", "Jobs accepted.", "account"),
+
+	/** Jobs that ended: finished, refused or cancelled. */
+	JOBS_ENDED(Type.COUNTER, "verbenatrack.jobs.ended", "", "Jobs that ended: finished, refused or cancelled.",
+			"account", "outcome"),
+
+	/** Jobs by phase. */
+	JOBS(Type.GAUGE, "verbenatrack.jobs", "", "Jobs by phase.", "phase"),
+
+	/** Time from a job's acceptance to the start of its gang. */
+	JOB_WAIT_TIME(Type.TIMER, "verbenatrack.job.wait.time", "seconds",
+			"Time from a job's acceptance to the start of its gang.", "urgency"),
+
+	/** Time from a job's acceptance to its outcome. */
+	JOB_COMPLETION_TIME(Type.TIMER, "verbenatrack.job.completion.time", "seconds",
+			"Time from a job's acceptance to its outcome.", "account"),
+
+	/** Gangs whose members all started. */
+	GANGS_STARTED(Type.COUNTER, "verbenatrack.gangs.started", "", "Gangs whose members all started."),
+
+	/** Gangs stopped to honour a guarantee. */
+	GANGS_RECLAIMED(Type.COUNTER, "verbenatrack.gangs.reclaimed", "", "Gangs stopped to honour a guarantee."),
+
+	/**
+	 * Share of free accelerators that the largest waiting guaranteed shape cannot use.
+	 */
+	FRAGMENTATION(Type.GAUGE, "verbenatrack.fragmentation", "ratio",
+			"Share of free accelerators that the largest waiting guaranteed shape cannot use."),
+
+	/** Accelerators by state: free, busy or quarantined. */
+	ACCELERATORS(Type.GAUGE, "verbenatrack.accelerators", "", "Accelerators by state: free, busy or quarantined.",
+			"state"),
+
+	/** Workers by phase. */
+	WORKERS(Type.GAUGE, "verbenatrack.workers", "", "Workers by phase.", "phase"),
+
+	/** Calls to workers: prepare, start, checkpoint or stop. */
+	WORKER_CALLS(Type.COUNTER, "verbenatrack.worker.calls", "", "Calls to workers: prepare, start, checkpoint or stop.",
+			"action", "result"),
+
+	/** Calls refused, by kind of problem. */
+	REFUSALS(Type.COUNTER, "verbenatrack.refusals", "", "Calls refused, by kind of problem.", "kind"),
+
+	/** The revision of the declarations in force on this instance. */
+	CONFIGURATION_REVISION(Type.GAUGE, "verbenatrack.configuration.revision", "",
+			"The revision of the declarations in force on this instance."),
+
+	/** Time until this instance stops admitting work. */
+	CONFIGURATION_LEASE_LEFT(Type.GAUGE, "verbenatrack.configuration.lease.left", "seconds",
+			"Time until this instance stops admitting work."),
+
+	/** The term of the control log. */
+	CONTROL_TERM(Type.GAUGE, "verbenatrack.control.term", "", "The term of the control log."),
+
+	/** 1 while this instance leads the control log, else 0. */
+	CONTROL_LEADER(Type.GAUGE, "verbenatrack.control.leader", "",
+			"1 while this instance leads the control log, else 0."),
+
+	/** Time from a proposal to its commit. */
+	CONTROL_COMMIT_TIME(Type.TIMER, "verbenatrack.control.commit.time", "seconds",
+			"Time from a proposal to its commit."),
+
+	/** Size of the control log on disk. */
+	CONTROL_LOG_BYTES(Type.GAUGE, "verbenatrack.control.log", "bytes", "Size of the control log on disk."),
+
+	/** Bytes sent to other instances. */
+	CONTROL_SENT_BYTES(Type.COUNTER, "verbenatrack.control.sent", "bytes", "Bytes sent to other instances."),
+
+	/** Items that wait in a ring between two threads. */
+	RING_LENGTH(Type.GAUGE, "verbenatrack.ring.length", "", "Items that wait in a ring between two threads.", "ring"),
+
+	/** Items refused since a ring was full. */
+	RING_REFUSALS(Type.COUNTER, "verbenatrack.ring.refusals", "", "Items refused since a ring was full.", "ring");
+
+	private final Type type;
+
+	private final String meterName;
+
+	private final String unit;
+
+	private final String description;
+
+	private final List<String> labels;
+
+	MetricName(Type type, String meterName, String unit, String description, String... labels) {
+		this.type = type;
+		this.meterName = meterName;
+		this.unit = unit;
+		this.description = description;
+		this.labels = List.of(labels);
+	}
+
+	/**
+	 * How the metric behaves.
+	 * @return the type
+	 */
+	public Type type() {
+		return this.type;
+	}
+
+	/**
+	 * The name of the meter, its words separated by dots.
+	 * @return the name
+	 */
+	public String meterName() {
+		return this.meterName;
+	}
+
+	/**
+	 * The unit of its values.
+	 * @return the unit, empty for counts
+	 */
+	public String unit() {
+		return this.unit;
+	}
+
+	/**
+	 * What it measures.
+	 * @return one sentence
+	 */
+	public String description() {
+		return this.description;
+	}
+
+	/**
+	 * The names of its labels.
+	 * @return the names, in the order in which values are given
+	 */
+	public List<String> labels() {
+		return this.labels;
+	}
+
+	/**
+	 * How a metric behaves.
+	 */
+	public enum Type {
+
+		/** Only grows. */
+		COUNTER,
+
+		/** Goes up and down. */
+		GAUGE,
+
+		/** Counts durations and adds them up. */
+		TIMER
+
+	}
+
+}
--- /dev/null
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/NoTracing.java
@@ -0,0 +1,41 @@
+package io.verbenatrack.telemetry;
+
+import java.util.Optional;
+
+/**
+ * Records nothing and passes the caller's context on.
+ */
+record NoTracing() implements Tracing {
+
+	@Override
+	public HopSpan span(Hop hop, Optional<String> parent) {
+		return new PassedOn(parent);
+	}
+
+	@Override
+	public void close() {
+	}
+
+	/**
+	 * A span that is not recorded.
+	 *
+	 * @param context the caller's context
+	 */
+	private record PassedOn(Optional<String> context) implements HopSpan {
+
+		@Override
+		public HopSpan with(String key, String value) {
+			return this;
+		}
+
+		@Override
+		public void fail(String description) {
+		}
+
+		@Override
+		public void close() {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/StandardErrorLogger.java
@@ -0,0 +1,59 @@
+package io.verbenatrack.telemetry;
+
+import java.io.PrintStream;
+import java.text.MessageFormat;
+import java.util.ResourceBundle;
+
+/**
+ * Writes lines to a stream: events as they are, other messages with level and name.
+ */
+final class StandardErrorLogger implements System.Logger {
+
+	private final String name;
+
+	private final PrintStream stream;
+
+	StandardErrorLogger(String name, PrintStream stream) {
+		this.name = name;
+		this.stream = stream;
+	}
+
+	@Override
+	public String getName() {
+		return this.name;
+	}
+
+	@Override
+	public boolean isLoggable(Level level) {
+		return level != Level.OFF && level.getSeverity() >= threshold().getSeverity();
+	}
+
+	@Override
+	public void log(Level level, ResourceBundle bundle, String message, Throwable thrown) {
+		if (isLoggable(level)) {
+			String cause = (thrown != null) ? " (" + thrown + ")" : "";
+			this.stream.println(prefix(level) + message + cause);
+		}
+	}
+
+	@Override
+	public void log(Level level, ResourceBundle bundle, String format, Object... parameters) {
+		if (isLoggable(level)) {
+			boolean plain = parameters == null || parameters.length == 0;
+			this.stream.println(prefix(level) + (plain ? format : MessageFormat.format(format, parameters)));
+		}
+	}
+
+	private Level threshold() {
+		return ownEvents() ? Level.INFO : Level.WARNING;
+	}
+
+	private String prefix(Level level) {
+		return ownEvents() ? "" : level + " " + this.name + ": ";
+	}
+
+	private boolean ownEvents() {
+		return SystemEventLog.LOGGER_NAME.equals(this.name);
+	}
+
+}
--- /dev/null
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/SystemEventLog.java
@@ -0,0 +1,49 @@
+package io.verbenatrack.telemetry;
+
+import java.time.InstantSource;
+import java.util.Map;
+
+import io.verbenatrack.settings.TelemetrySettings.LogFormat;
+
+/**
+ * Writes events through {@link System.Logger}, one line each.
+ */
+public final class SystemEventLog implements EventLog {
+
+	/** The name of the logger that carries the events. */
+	public static final String LOGGER_NAME = "io.verbenatrack";
+
+	private final System.Logger logger;
+
+	private final LogFormat format;
+
+	private final InstantSource clock;
+
+	/**
+	 * Writes to the logger of the platform.
+	 * @param format the form of the lines
+	 * @param clock gives the time of each event
+	 */
+	public SystemEventLog(LogFormat format, InstantSource clock) {
+		this(System.getLogger(LOGGER_NAME), format, clock);
+	}
+
+	SystemEventLog(System.Logger logger, LogFormat format, InstantSource clock) {
+		this.logger = logger;
+		this.format = format;
+		this.clock = clock;
+	}
+
+	@Override
+	public void write(LogEvent event, Map<String, Object> fields) {
+		if (!this.logger.isLoggable(event.level())) {
+			return;
+		}
+		String line = switch (this.format) {
+			case TEXT -> EventLines.text(this.clock.instant(), event, fields);
+			case JSON -> EventLines.json(this.clock.instant(), event, fields);
+		};
+		this.logger.log(event.level(), line);
+	}
+
+}
