Add the EASY backfill baseline and check invariants on random events

Change: EasyBackfillScheduler takes the place that leaves the least room and reserves particular accelerators for the first job that does not fit. The property tests drive any Scheduler with seeded events, workers that answer crossed, twice or never, losses, draining, cancellations and a change of leader; InvariantChecker follows the workers' side and fails at the first decision that breaks adjacency, wholeness, tokens, holds or single outcomes.

--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/baseline/EasyBackfillScheduler.java
@@ -0,0 +1,115 @@
+package io.verbenatrack.scheduling.baseline;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.verbenatrack.model.GangPlacement;
+import io.verbenatrack.model.GangShape;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.scheduling.SchedulingEvent;
+import io.verbenatrack.scheduling.lifecycle.ReplicatedScheduler;
+import io.verbenatrack.scheduling.state.DecisionLog;
+import io.verbenatrack.scheduling.state.JobRecord;
+
+/**
+ * Gives each job, first come first, the place that fits best, and lets later jobs start
+ * ahead of the first that does not fit when they do not delay it by the declared run
+ * times.
+ *
+ * <p>
+ * This is EASY backfill (Lifka, "The ANL/IBM SP Scheduling System", 1995), with the
+ * reservation held on particular accelerators because gangs need adjacent ones. Nothing
+ * is reclaimed.
+ */
+public final class EasyBackfillScheduler extends ReplicatedScheduler {
+
+	/**
+	 * Starts with no jobs and no workers.
+	 */
+	public EasyBackfillScheduler() {
+		super(DEFAULT_REMEMBERED_JOBS);
+	}
+
+	@Override
+	protected void follow(SchedulingEvent event, Instant now, DecisionLog log) {
+		placeWaiting(now, log);
+	}
+
+	private void placeWaiting(Instant now, DecisionLog log) {
+		FreeSpace free = new FreeSpace(state().fleet());
+		Set<GangShape> unplaceable = new HashSet<>();
+		Optional<Reservation> head = Optional.empty();
+		for (JobRecord job : List.copyOf(state().jobs().waiting())) {
+			GangShape shape = job.spec().shape();
+			boolean tried = unplaceable.contains(shape);
+			Optional<GangPlacement> place = tried ? Optional.empty() : place(job, free, head, now);
+			place.ifPresent((found) -> {
+				free.take(shape, found);
+				log.add(new SchedulingDecision.PlaceGang(job.id(), state().nextToken(), found, now));
+			});
+			if (place.isEmpty() && head.isEmpty()) {
+				head = reserve(shape, now);
+			}
+			if (place.isEmpty() && free.bestFit(shape).isEmpty()) {
+				unplaceable.add(shape);
+			}
+		}
+	}
+
+	private Optional<GangPlacement> place(JobRecord job, FreeSpace free, Optional<Reservation> head, Instant now) {
+		GangShape shape = job.spec().shape();
+		if (head.isEmpty() || !expectedEnd(job, now).isAfter(head.get().at())) {
+			return free.bestFit(shape);
+		}
+		return beside(head.get(), free, shape);
+	}
+
+	// Places a job that outlasts the reservation on accelerators outside of it.
+	private static Optional<GangPlacement> beside(Reservation head, FreeSpace free, GangShape shape) {
+		FreeSpace rest = free.copy();
+		rest.take(head.shape(), head.placement());
+		return rest.bestFit(shape);
+	}
+
+	// The place that is free first when running jobs end as they declared.
+	private Optional<Reservation> reserve(GangShape shape, Instant now) {
+		FreeSpace later = new FreeSpace(state().fleet());
+		List<JobRecord> ending = state().jobs()
+			.holding()
+			.stream()
+			.sorted(Comparator.comparing((JobRecord job) -> expectedEnd(job, now)))
+			.toList();
+		for (JobRecord job : ending) {
+			later.giveBack(job.spec().shape(), job.lease().orElseThrow().placement());
+			Optional<GangPlacement> place = later.bestFit(shape);
+			if (place.isPresent()) {
+				return Optional.of(new Reservation(shape, place.get(), expectedEnd(job, now)));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private static Instant expectedEnd(JobRecord job, Instant now) {
+		Instant start = job.lease().map((lease) -> lease.startedAt().orElse(lease.placedAt())).orElse(now);
+		Duration left = job.spec().declaredRunTime().minus(job.keptBefore());
+		Instant end = start.plus(left);
+		return end.isAfter(now) ? end : now;
+	}
+
+	/**
+	 * The accelerators that the first waiting job is to get.
+	 *
+	 * @param shape its gang
+	 * @param placement where
+	 * @param at when they are expected to be free
+	 */
+	private record Reservation(GangShape shape, GangPlacement placement, Instant at) {
+
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/test/java/io/verbenatrack/scheduling/property/InvariantChecker.java
@@ -0,0 +1,241 @@
+package io.verbenatrack.scheduling.property;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.verbenatrack.model.FencingToken;
+import io.verbenatrack.model.GangShape;
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.JobSpec;
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.model.WorkerSpec;
+import io.verbenatrack.scheduling.MemberReport;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.scheduling.SchedulingEvent;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Follows events and decisions from the workers' side and fails at the first that breaks
+ * an invariant.
+ */
+final class InvariantChecker {
+
+	private final Map<JobId, JobSpec> accepted = new HashMap<>();
+
+	private final Set<JobId> ended = new HashSet<>();
+
+	private final Map<WorkerId, WorkerSpec> usable = new HashMap<>();
+
+	private final Map<WorkerId, WorkerSpec> present = new HashMap<>();
+
+	private final Set<WorkerId> quarantined = new HashSet<>();
+
+	/** Members that workers hold, until they report the end or their lease runs out. */
+	private final Map<Member, Slot> held = new HashMap<>();
+
+	private final Map<JobId, Gang> gangs = new HashMap<>();
+
+	private long highestToken;
+
+	// Takes over what an event tells, before it is decided on.
+	void before(SchedulingEvent event) {
+		switch (event) {
+			case SchedulingEvent.WorkerAnnounced announced -> {
+				this.present.put(announced.worker().id(), announced.worker());
+				this.usable.put(announced.worker().id(), announced.worker());
+			}
+			case SchedulingEvent.WorkerDraining draining -> this.usable.remove(draining.worker());
+			case SchedulingEvent.WorkerLost lost -> lose(lost.worker());
+			case SchedulingEvent.MemberReported reported -> report(reported);
+			default -> {
+			}
+		}
+	}
+
+	// Checks the decisions on an event in their order.
+	void after(SchedulingEvent event, List<SchedulingDecision> decisions) {
+		decisions.forEach(this::check);
+		this.gangs.forEach((job, gang) -> assertThat(gang.broken && gang.started)
+			.as("gang of %s runs on with a member gone after %s", job, event)
+			.isFalse());
+	}
+
+	Set<JobId> unfinished() {
+		Set<JobId> open = new HashSet<>(this.accepted.keySet());
+		open.removeAll(this.ended);
+		return open;
+	}
+
+	// The members that workers hold under a lease.
+	List<Slot> members(JobId job, FencingToken token) {
+		return this.held.entrySet()
+			.stream()
+			.filter((member) -> member.getKey().job().equals(job) && member.getKey().token().equals(token))
+			.map(Map.Entry::getValue)
+			.sorted(Comparator.comparing(Slot::worker))
+			.toList();
+	}
+
+	private void check(SchedulingDecision decision) {
+		switch (decision) {
+			case SchedulingDecision.AcceptJob accept ->
+				assertThat(this.accepted.put(accept.job().id(), accept.job())).as("accepted twice").isNull();
+			case SchedulingDecision.PlaceGang place -> place(place);
+			case SchedulingDecision.StartGang start -> start(start);
+			case SchedulingDecision.CheckpointGang save -> open(save.job());
+			case SchedulingDecision.StopGang stop -> halt(stop.job());
+			case SchedulingDecision.RequeueJob requeue -> {
+				halt(requeue.job());
+				this.gangs.remove(requeue.job());
+			}
+			case SchedulingDecision.EndJob end -> {
+				this.gangs.remove(end.job());
+				assertThat(this.ended.add(end.job())).as("second outcome of %s", end.job()).isTrue();
+			}
+			case SchedulingDecision.QuarantineWorker quarantine -> this.quarantined.add(quarantine.worker());
+			case SchedulingDecision.ReleaseWorker release -> this.quarantined.remove(release.worker());
+			default -> {
+			}
+		}
+	}
+
+	private void place(SchedulingDecision.PlaceGang place) {
+		open(place.job());
+		assertThat(this.gangs).as("placed twice").doesNotContainKey(place.job());
+		assertThat(place.token().value()).as("fencing token").isGreaterThan(this.highestToken);
+		this.highestToken = place.token().value();
+		GangShape shape = this.accepted.get(place.job()).shape();
+		assertAdjacent(shape, place.placement().slots());
+		for (Slot slot : place.placement().slots()) {
+			assertThat(this.usable).as("worker of %s", place).containsKey(slot.worker());
+			assertThat(this.quarantined).as("worker of %s", place).doesNotContain(slot.worker());
+			assertFits(place, slot);
+			this.held.put(new Member(place.job(), place.token(), slot.worker()), slot);
+		}
+		this.gangs.put(place.job(), new Gang(place.token(), place.placement().slots()));
+	}
+
+	private void assertAdjacent(GangShape shape, List<Slot> slots) {
+		assertThat(slots.stream().mapToInt(Slot::accelerators).sum()).isEqualTo(shape.accelerators());
+		for (int i = 1; i < slots.size(); i++) {
+			WorkerSpec before = this.present.get(slots.get(i - 1).worker());
+			WorkerSpec worker = this.present.get(slots.get(i).worker());
+			assertThat(before.accelerators()).as("a larger gang takes whole workers")
+				.isEqualTo(slots.get(i - 1).accelerators());
+			assertThat(worker.rack()).isEqualTo(before.rack());
+			assertThat(worker.positionInRack()).isEqualTo(before.positionInRack() + 1);
+		}
+		WorkerSpec first = this.present.get(slots.getFirst().worker());
+		assertThat(slots.size() == 1 || shape.accelerators() > first.accelerators())
+			.as("a gang that fits one worker lies on one: %s", slots)
+			.isTrue();
+	}
+
+	private void assertFits(SchedulingDecision.PlaceGang place, Slot slot) {
+		WorkerSpec worker = this.present.get(slot.worker());
+		GangShape shape = this.accepted.get(place.job()).shape();
+		int cores = slot.accelerators() * shape.coresPerAccelerator();
+		int memory = slot.accelerators() * shape.memoryGibPerAccelerator();
+		for (Map.Entry<Member, Slot> other : this.held.entrySet()) {
+			if (other.getValue().worker().equals(slot.worker())) {
+				Slot taken = other.getValue();
+				assertThat(slot.firstAccelerator() + slot.accelerators() <= taken.firstAccelerator()
+						|| taken.firstAccelerator() + taken.accelerators() <= slot.firstAccelerator())
+					.as("%s on accelerators that %s holds", place, other)
+					.isTrue();
+				GangShape beside = this.accepted.get(other.getKey().job()).shape();
+				cores += taken.accelerators() * beside.coresPerAccelerator();
+				memory += taken.accelerators() * beside.memoryGibPerAccelerator();
+			}
+		}
+		assertThat(slot.firstAccelerator()).isNotNegative();
+		assertThat(slot.firstAccelerator() + slot.accelerators()).isLessThanOrEqualTo(worker.accelerators());
+		assertThat(cores).as("cores on %s", worker).isLessThanOrEqualTo(worker.cores());
+		assertThat(memory).as("memory on %s", worker).isLessThanOrEqualTo(worker.memoryGib());
+	}
+
+	private void start(SchedulingDecision.StartGang start) {
+		Gang gang = this.gangs.get(start.job());
+		assertThat(gang.token).isEqualTo(start.token());
+		assertThat(gang.prepared).as("members prepared at %s", start).hasSameSizeAs(gang.slots);
+		assertThat(gang.broken).as("a member was gone at %s", start).isFalse();
+		gang.started = true;
+	}
+
+	private void halt(JobId job) {
+		if (this.gangs.containsKey(job)) {
+			this.gangs.get(job).started = false;
+		}
+	}
+
+	private void open(JobId job) {
+		assertThat(this.accepted).containsKey(job);
+		assertThat(this.ended).doesNotContain(job);
+	}
+
+	private void lose(WorkerId worker) {
+		this.usable.remove(worker);
+		this.quarantined.remove(worker);
+		for (Member member : List.copyOf(this.held.keySet())) {
+			if (member.worker().equals(worker)) {
+				this.held.remove(member);
+				breakGang(member);
+			}
+		}
+	}
+
+	private void breakGang(Member member) {
+		Gang gang = this.gangs.get(member.job());
+		if (gang != null && gang.token.equals(member.token())) {
+			gang.broken = true;
+		}
+	}
+
+	private void report(SchedulingEvent.MemberReported reported) {
+		Slot slot = this.held.get(new Member(reported.job(), reported.token(), reported.worker()));
+		Gang gang = this.gangs.get(reported.job());
+		boolean current = slot != null && gang != null && gang.token.equals(reported.token());
+		if (slot != null && reported.report().compareTo(MemberReport.FINISHED) >= 0
+				&& reported.report() != MemberReport.CHECKPOINTED) {
+			this.held.remove(new Member(reported.job(), reported.token(), reported.worker()));
+		}
+		if (current && reported.report() == MemberReport.PREPARED) {
+			gang.prepared.add(reported.worker());
+		}
+		if (current && (reported.report() == MemberReport.FAILED || reported.report() == MemberReport.STOPPED)) {
+			gang.broken = true;
+		}
+	}
+
+	// A member of a gang as its worker knows it.
+	private record Member(JobId job, FencingToken token, WorkerId worker) {
+
+	}
+
+	/** A placement that is in force. */
+	private static final class Gang {
+
+		private final FencingToken token;
+
+		private final List<Slot> slots;
+
+		private final Set<WorkerId> prepared = new HashSet<>();
+
+		private boolean started;
+
+		private boolean broken;
+
+		Gang(FencingToken token, List<Slot> slots) {
+			this.token = token;
+			this.slots = slots;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/test/java/io/verbenatrack/scheduling/property/SchedulerInvariantsTests.java
@@ -0,0 +1,71 @@
+package io.verbenatrack.scheduling.property;
+
+import java.util.function.Supplier;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.scheduling.Scheduler;
+import io.verbenatrack.scheduling.baseline.EasyBackfillScheduler;
+import io.verbenatrack.scheduling.baseline.FirstFitScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that the invariants hold after every event of seeded random sequences.
+ */
+public class SchedulerInvariantsTests {
+
+	private static final int EVENTS = 400;
+
+	private static final int SETTLING_ROUNDS = 4_000;
+
+	private static final int WORKERS = 10;
+
+	@DataProvider
+	public Object[][] seeds() {
+		Stream<Supplier<Scheduler>> policies = Stream.of(FirstFitScheduler::new, EasyBackfillScheduler::new);
+		return policies
+			.flatMap((policy) -> LongStream.rangeClosed(1, 40).mapToObj((seed) -> new Object[] { policy, seed }))
+			.toArray(Object[][]::new);
+	}
+
+	@Test(dataProvider = "seeds")
+	public void everyInvariantHoldsAfterEveryEvent(Supplier<Scheduler> policy, long seed) {
+		RandomEvents events = new RandomEvents(seed, WORKERS, policy.get(), policy.get());
+		play(events, seed, () -> events.play(EVENTS));
+	}
+
+	@Test(dataProvider = "seeds")
+	public void everyAcceptedJobGetsItsOutcomeOnceTheFleetRecovers(Supplier<Scheduler> policy, long seed) {
+		RandomEvents events = new RandomEvents(seed, WORKERS, policy.get(), policy.get());
+		play(events, seed, () -> {
+			events.play(EVENTS);
+			assertThat(events.settle(SETTLING_ROUNDS)).as("jobs without outcome: %s", events.unfinished()).isTrue();
+		});
+	}
+
+	@Test(dataProvider = "seeds")
+	public void followerEqualsLeaderAndTakesOver(Supplier<Scheduler> policy, long seed) {
+		RandomEvents events = new RandomEvents(seed, WORKERS, policy.get(), policy.get());
+		play(events, seed, () -> {
+			events.play(EVENTS);
+			assertThat(events.follower().view()).isEqualTo(events.leader().view());
+			events.failOver();
+			assertThat(events.settle(SETTLING_ROUNDS)).as("jobs without outcome: %s", events.unfinished()).isTrue();
+			assertThat(events.follower().view()).isEqualTo(events.leader().view());
+		});
+	}
+
+	private static void play(RandomEvents events, long seed, Runnable sequence) {
+		try {
+			sequence.run();
+		}
+		catch (AssertionError | RuntimeException ex) {
+			throw new AssertionError("Seed " + seed + "; last events:\n" + String.join("\n", events.trace()), ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/test/java/io/verbenatrack/scheduling/property/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Invariants of the decisions over seeded random sequences of events.
+ */
+package io.verbenatrack.scheduling.property;
