Bench the policies on the same arrivals with a virtual clock

Cause: completion time, waits of large gangs, fragmentation and the cost of decisions have to be measured for each policy beside lower bounds. The figures come from the workers' side, not from the policy's own view.

--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/scheduling/FleetMap.java
@@ -0,0 +1,127 @@
+package io.verbenatrack.bench.scheduling;
+
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.verbenatrack.model.GangPlacement;
+import io.verbenatrack.model.RackId;
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.model.WorkerSpec;
+
+/**
+ * Which accelerators the virtual workers hold, kept apart from the policy's own account.
+ */
+final class FleetMap {
+
+	private final Map<WorkerId, HeldWorker> workers = new LinkedHashMap<>();
+
+	private final Map<RackId, TreeMap<Integer, HeldWorker>> racks = new LinkedHashMap<>();
+
+	void add(WorkerSpec spec) {
+		HeldWorker worker = new HeldWorker(spec, new BitSet());
+		this.workers.put(spec.id(), worker);
+		this.racks.computeIfAbsent(spec.rack(), (rack) -> new TreeMap<>()).put(spec.positionInRack(), worker);
+	}
+
+	void remove(WorkerSpec spec) {
+		this.workers.remove(spec.id());
+		this.racks.get(spec.rack()).remove(spec.positionInRack());
+	}
+
+	boolean contains(WorkerId worker) {
+		return this.workers.containsKey(worker);
+	}
+
+	// Holds a gang; false when it is not adjacent, not whole, or on held accelerators.
+	boolean hold(int gang, GangPlacement placement) {
+		List<Slot> slots = placement.slots().stream().filter((slot) -> contains(slot.worker())).toList();
+		boolean free = slots.stream().allMatch((slot) -> this.workers.get(slot.worker()).hold(slot));
+		boolean whole = slots.size() == placement.slots().size() && placement.accelerators() == gang;
+		return free && whole && adjacent(slots);
+	}
+
+	void release(Slot slot) {
+		this.workers.get(slot.worker()).held().clear(slot.firstAccelerator(), end(slot));
+	}
+
+	int held() {
+		return this.workers.values().stream().mapToInt((worker) -> worker.held().cardinality()).sum();
+	}
+
+	// The share of free accelerators that a gang of the given size cannot use.
+	double fragmentation(int gang) {
+		int free = this.workers.values().stream().mapToInt(HeldWorker::free).sum();
+		int usable = this.racks.values().stream().map(TreeMap::values).mapToInt((rack) -> usable(rack, gang)).sum();
+		return (free != 0) ? 1 - (double) usable / free : 0;
+	}
+
+	private static int usable(Collection<HeldWorker> rack, int gang) {
+		int usable = 0;
+		int run = 0;
+		int position = 0;
+		for (HeldWorker worker : rack) {
+			if (gang <= worker.spec().accelerators()) {
+				usable += worker.usable(gang);
+				continue;
+			}
+			boolean neighbour = worker.spec().positionInRack() == position;
+			position = worker.spec().positionInRack() + 1;
+			int idle = (worker.free() == worker.spec().accelerators()) ? worker.free() : 0;
+			run = ((neighbour && idle != 0) ? run : 0) + idle;
+			if (run >= gang) {
+				usable += gang;
+				run = 0;
+			}
+		}
+		return usable;
+	}
+
+	private boolean adjacent(List<Slot> slots) {
+		for (int i = 1; i < slots.size(); i++) {
+			WorkerSpec before = this.workers.get(slots.get(i - 1).worker()).spec();
+			WorkerSpec worker = this.workers.get(slots.get(i).worker()).spec();
+			if (!before.rack().equals(worker.rack()) || before.positionInRack() + 1 != worker.positionInRack()) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private static int end(Slot slot) {
+		return slot.firstAccelerator() + slot.accelerators();
+	}
+
+	// A worker with the accelerators that its members hold.
+	private record HeldWorker(WorkerSpec spec, BitSet held) {
+
+		boolean hold(Slot slot) {
+			boolean free = this.held.get(slot.firstAccelerator(), end(slot)).isEmpty();
+			this.held.set(slot.firstAccelerator(), end(slot));
+			return free && end(slot) <= this.spec.accelerators();
+		}
+
+		int free() {
+			return this.spec.accelerators() - this.held.cardinality();
+		}
+
+		int usable(int gang) {
+			int usable = 0;
+			int run = 0;
+			for (int accelerator = 0; accelerator < this.spec.accelerators(); accelerator++) {
+				run = this.held.get(accelerator) ? 0 : run + 1;
+				if (run == gang) {
+					usable += gang;
+					run = 0;
+				}
+			}
+			return usable;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/scheduling/JobRun.java
@@ -0,0 +1,103 @@
+package io.verbenatrack.bench.scheduling;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.verbenatrack.model.GangPlacement;
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.model.WorkerId;
+
+/**
+ * What the virtual workers know of one job.
+ */
+final class JobRun {
+
+	/** Checkpointable jobs save their progress that often without being asked. */
+	private static final long CHECKPOINT_INTERVAL_MS = 600_000;
+
+	private static final long NOT_YET = -1;
+
+	final PlannedJob job;
+
+	final Map<WorkerId, Slot> held = new HashMap<>();
+
+	final Set<WorkerId> prepared = new HashSet<>();
+
+	List<Slot> slots = List.of();
+
+	long token;
+
+	long startedMs = NOT_YET;
+
+	long savedMs;
+
+	private long resumedMs;
+
+	long endedMs = NOT_YET;
+
+	boolean finished;
+
+	JobRun(PlannedJob job) {
+		this.job = job;
+	}
+
+	void place(long newToken, GangPlacement placement) {
+		this.token = newToken;
+		this.slots = placement.slots();
+		this.prepared.clear();
+		this.held.clear();
+		this.slots.forEach((slot) -> this.held.put(slot.worker(), slot));
+	}
+
+	boolean whole() {
+		return this.prepared.size() == this.slots.size();
+	}
+
+	boolean running() {
+		return this.startedMs != NOT_YET;
+	}
+
+	boolean ended() {
+		return this.endedMs != NOT_YET;
+	}
+
+	boolean waiting() {
+		return !ended() && this.slots.isEmpty();
+	}
+
+	void start(long atMs) {
+		this.startedMs = atMs;
+		this.resumedMs = this.savedMs;
+	}
+
+	long progressMs(long nowMs) {
+		return running() ? this.resumedMs + Math.max(0, nowMs - this.startedMs) : this.savedMs;
+	}
+
+	long checkpointedMs(long nowMs) {
+		if (!this.job.spec().checkpointable()) {
+			return 0;
+		}
+		long own = progressMs(nowMs) - this.resumedMs;
+		long saved = this.resumedMs + own / CHECKPOINT_INTERVAL_MS * CHECKPOINT_INTERVAL_MS;
+		return running() ? Math.max(this.savedMs, saved) : this.savedMs;
+	}
+
+	// The members run no more; what was saved is kept.
+	void halt(long nowMs) {
+		this.savedMs = checkpointedMs(nowMs);
+		this.startedMs = NOT_YET;
+	}
+
+	int gang() {
+		return this.job.spec().shape().accelerators();
+	}
+
+	long waitedMs(long untilMs) {
+		return untilMs - this.job.arrivalMs() - this.job.runTimeMs();
+	}
+
+}
