--- a/control/src/main/java/io/verbenatrack/control/ReplicaLimits.java
+++ b/control/src/main/java/io/verbenatrack/control/ReplicaLimits.java
@@ -16,7 +16,7 @@
 		int entriesBetweenSnapshots, int entriesRetained, int chunkBytes, int maximumReplicas) {
 
 	/** Suits instances with 64 MB. */
-	public static final ReplicaLimits DEFAULT = new ReplicaLimits(1 << 20, 1 << 18, 4096, 4096, 10_000, 1_000, 1 << 18,
+	public static final ReplicaLimits DEFAULT = new ReplicaLimits(1 << 21, 1 << 18, 4096, 4096, 10_000, 1_000, 1 << 18,
 			7);
 
 	/**
--- /dev/null
+++ b/state/src/main/java/io/verbenatrack/state/configuration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The configuration: which change won which revision.
+ */
+package io.verbenatrack.state.configuration;
