--- /dev/null
+++ b/cli/src/main/java/io/verbenatrack/cli/Commands.java
@@ -0,0 +1,26 @@
+package io.verbenatrack.cli;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Lists all commands.
+ */
+final class Commands {
+
+	/** The commands, in the order of the help. */
+	static final List<Command> ALL = List.of(new CheckCommand(), new DiffCommand(), new ApplyCommand(),
+			new SubmitCommand(), new CancelCommand(), new StatusCommand(), new ViewCommand());
+
+	private Commands() {
+	}
+
+	static Optional<Command> named(String name) {
+		return ALL.stream().filter((command) -> command.name().equals(name)).findFirst();
+	}
+
+	static List<String> names() {
+		return ALL.stream().map(Command::name).toList();
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/io/verbenatrack/cli/HelpText.java
@@ -0,0 +1,61 @@
+package io.verbenatrack.cli;
+
+import java.util.Comparator;
+import java.util.List;
+
+import org.apache.commons.cli.Option;
+
+/**
+ * Writes the help of the program and of each command.
+ */
+final class HelpText {
+
+	private static final int NAME_WIDTH = 10;
+
+	private static final int OPTION_WIDTH = 34;
+
+	private HelpText() {
+	}
+
+	static String overview() {
+		StringBuilder text = new StringBuilder("Usage: verbenatrack COMMAND [OPTIONS]\n\nCommands:\n");
+		for (Command command : Commands.ALL) {
+			text.append("  ").append(padded(command.name(), NAME_WIDTH)).append(command.summary()).append('\n');
+		}
+		return text.append("\nOptions of every command:\n")
+			.append("  --help     shows the options and examples of a command\n")
+			.append("  --version  shows the version\n\n")
+			.append("Exit codes: 0 done, 2 usage or settings, 3 refused, 4 no instance reached, 5 outcome unknown.\n")
+			.append("\nExample:\n  verbenatrack check --settings examples/hamid/instance.yaml\n")
+			.toString();
+	}
+
+	static String of(Command command) {
+		StringBuilder text = new StringBuilder("Usage: verbenatrack ").append(command.name());
+		if (!command.subjects().isEmpty()) {
+			text.append(' ').append(String.join("|", command.subjects()));
+		}
+		text.append(" [OPTIONS]\n\n").append(command.summary()).append("\n\nOptions:\n");
+		List<Option> options = command.options()
+			.getOptions()
+			.stream()
+			.sorted(Comparator.comparing(Option::isRequired).reversed().thenComparing(Option::getLongOpt))
+			.toList();
+		options.forEach((option) -> text.append(line(option)));
+		text.append("  ").append(padded("--help", OPTION_WIDTH)).append("shows this text\n");
+		text.append("  ").append(padded("--version", OPTION_WIDTH)).append("shows the version\n\nExamples:\n");
+		command.examples().forEach((example) -> text.append("  verbenatrack ").append(example).append('\n'));
+		return text.toString();
+	}
+
+	private static String line(Option option) {
+		String name = "--" + option.getLongOpt() + (option.hasArg() ? " " + option.getArgName() : "");
+		String required = option.isRequired() ? " (required)" : "";
+		return "  " + padded(name, OPTION_WIDTH) + option.getDescription() + required + "\n";
+	}
+
+	private static String padded(String text, int width) {
+		return text + " ".repeat(Math.max(1, width - text.length()));
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/io/verbenatrack/cli/InstanceCall.java
@@ -0,0 +1,17 @@
+package io.verbenatrack.cli;
+
+/**
+ * A call to any instance; a resend of the same call is harmless.
+ *
+ * @param method the HTTP method
+ * @param path the path with its query
+ * @param body the body, empty for none
+ * @param changes whether it changes anything
+ */
+record InstanceCall(String method, String path, String body, boolean changes) {
+
+	static InstanceCall read(String path) {
+		return new InstanceCall("GET", path, "", false);
+	}
+
+}
