--- a/routing/src/main/java/io/verbenatrack/routing/AttemptFlow.java
+++ b/routing/src/main/java/io/verbenatrack/routing/AttemptFlow.java
@@ -121,7 +121,7 @@
 	}
 
 	void ended(Attempt attempt, AttemptResult reported) {
-		AttemptResult result = attempt.end(silentWhenOverdue(attempt, reported));
+		AttemptResult result = attempt.end(reported);
 		Exchange exchange = attempt.exchange();
 		this.context.attempts().remove(attempt.id());
 		exchange.open().remove(attempt.id());
@@ -136,16 +136,6 @@
 		this.settlement.forgetIfOver(exchange);
 	}
 
-	// A reply that did not come within twice the usual time is missing, not merely
-	// awaited.
-	private AttemptResult silentWhenOverdue(Attempt attempt, AttemptResult reported) {
-		long waited = this.context.now() - attempt.beganNanos();
-		long usual = this.context.queue(attempt.exchange()).times().meanNanos();
-		boolean cancelled = reported instanceof AttemptResult.Lost lost && lost.cause() == LossCause.CANCELLED;
-		boolean silent = cancelled && attempt.isOverdue() && !attempt.isReplied() && waited > 2 * usual;
-		return silent ? new AttemptResult.Lost(LossCause.SILENT) : reported;
-	}
-
 	private void record(Attempt attempt, AttemptResult result) {
 		TargetState target = attempt.target();
 		long now = this.context.now();
@@ -164,7 +154,7 @@
 					target.ended(attempt.id(), now);
 				}
 				if (lost.cause() == LossCause.SILENT) {
-					this.context.decide(new RoutingDecision.DropConnections(target.spec().id(), target.spec().url()));
+					this.context.decide(new RoutingDecision.DropConnections(target.spec().id()));
 				}
 			}
 		}
@@ -284,10 +274,7 @@
 	}
 
 	void cancelAll(Exchange exchange) {
-		for (Attempt attempt : exchange.open().values()) {
-			attempt.markOverdue(exchange.remainingNanos(this.context.now()) <= 0);
-			this.context.decide(new RoutingDecision.Cancel(attempt.id()));
-		}
+		exchange.open().keySet().forEach((id) -> this.context.decide(new RoutingDecision.Cancel(id)));
 	}
 
 }
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/ControlModule.java
@@ -0,0 +1,161 @@
+package io.verbenatrack.server;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
+
+import dagger.Module;
+import dagger.Provides;
+import org.eclipse.jetty.client.HttpClient;
+
+import io.verbenatrack.control.ReplicaPeer;
+import io.verbenatrack.control.ReplicaSettings;
+import io.verbenatrack.control.driver.Replica;
+import io.verbenatrack.control.driver.ReplicaTransport;
+import io.verbenatrack.model.Closer;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.scheduling.Scheduler;
+import io.verbenatrack.scheduling.baseline.FirstFitScheduler;
+import io.verbenatrack.server.command.CommandCodec;
+import io.verbenatrack.server.command.CommandExecutor;
+import io.verbenatrack.server.command.EntryCommand;
+import io.verbenatrack.server.http.ApiFormat;
+import io.verbenatrack.server.leader.AcceptedDeclarations;
+import io.verbenatrack.server.leader.LeaderDuty;
+import io.verbenatrack.server.leader.LeaderLimits;
+import io.verbenatrack.server.leader.LocalExecutor;
+import io.verbenatrack.server.leader.ReplicatedCommands;
+import io.verbenatrack.server.log.ControlStateMachine;
+import io.verbenatrack.server.log.JobsState;
+import io.verbenatrack.server.peer.LeaderGateway;
+import io.verbenatrack.server.peer.PeerChannels;
+import io.verbenatrack.server.worker.HttpWorkerPort;
+import io.verbenatrack.settings.InstanceSettings;
+import io.verbenatrack.settings.PeerSettings;
+import io.verbenatrack.state.RecordCodec;
+import io.verbenatrack.state.claims.ClaimState;
+import io.verbenatrack.state.configuration.ConfigurationState;
+
+/**
+ * Provides the control log and what it drives.
+ */
+@Module
+final class ControlModule {
+
+	private static final Duration WORKER_LEASE = Duration.ofSeconds(10);
+
+	private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(5);
+
+	private ControlModule() {
+	}
+
+	@Provides
+	static Supplier<Scheduler> schedulers() {
+		return FirstFitScheduler::new;
+	}
+
+	@Provides
+	@InstanceScope
+	static JobsState jobs(Supplier<Scheduler> schedulers, RecordCodec codec) {
+		return new JobsState(schedulers, codec);
+	}
+
+	@Provides
+	@InstanceScope
+	static ConfigurationState configuration(AcceptedDeclarations accepted) {
+		return new ConfigurationState(accepted::accept);
+	}
+
+	@Provides
+	@InstanceScope
+	static AcceptedDeclarations accepted() {
+		return new AcceptedDeclarations();
+	}
+
+	@Provides
+	@InstanceScope
+	static ClaimState claims(InstanceSettings settings) {
+		return new ClaimState(settings.limits().rememberedAnswers(), settings.limits().rememberedAnswerBytes());
+	}
+
+	@Provides
+	@InstanceScope
+	static ControlStateMachine machine(ConfigurationState configuration, ClaimState claims, JobsState jobs,
+			RecordCodec codec) {
+		return new ControlStateMachine(configuration, claims, jobs, codec);
+	}
+
+	@Provides
+	@InstanceScope
+	static Optional<Replica> replica(InstanceSettings settings, ControlStateMachine machine, MonotonicClock clock,
+			Closer closer) {
+		return settings.data().map((folder) -> {
+			ReplicaPeer self = new ReplicaPeer(settings.instance(), settings.grpc().host(), settings.grpc().port());
+			List<ReplicaPeer> replicas = new ArrayList<>(List.of(self));
+			settings.peers().stream().filter(PeerSettings::replica).map(ControlModule::peer).forEach(replicas::add);
+			try {
+				return closer.register(Replica.start(new ReplicaSettings(settings.cluster(), self, replicas, folder),
+						machine, ReplicaTransport.none(), (notice, detail) -> {
+						}, clock));
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		});
+	}
+
+	private static ReplicaPeer peer(PeerSettings peer) {
+		return new ReplicaPeer(peer.instance(), peer.grpc().host(), peer.grpc().port());
+	}
+
+	@Provides
+	@InstanceScope
+	static Optional<LeaderDuty> leaderDuty(Optional<Replica> replica, JobsState jobs, RecordCodec codec,
+			HttpClient client, ApiFormat format, ScheduledExecutorService timer, InstantSource wallClock,
+			MonotonicClock clock, InstanceSettings settings, AcceptedDeclarations accepted, Closer closer) {
+		return replica.map((log) -> {
+			LeaderLimits limits = new LeaderLimits(settings.limits().ringCapacity(), settings.limits().workers(),
+					WORKER_LEASE);
+			HttpWorkerPort workers = new HttpWorkerPort(client, format, WORKER_LEASE);
+			LeaderDuty duty = new LeaderDuty(log, jobs, codec, workers, timer, wallClock, clock, limits,
+					accepted::declarations);
+			accepted.listener((declarations) -> duty.execute(new EntryCommand.AdoptDeclarations(declarations)));
+			return closer.register(duty);
+		});
+	}
+
+	@Provides
+	@InstanceScope
+	static PeerChannels channels(InstanceSettings settings, Closer closer) {
+		return closer.register(new PeerChannels(settings.peers()));
+	}
+
+	@Provides
+	@InstanceScope
+	static Optional<LocalExecutor> local(Optional<Replica> replica, Optional<LeaderDuty> duty,
+			ConfigurationState configuration, RecordCodec codec, InstantSource wallClock) {
+		return duty.map((scheduling) -> new LocalExecutor(scheduling,
+				new ReplicatedCommands(replica.orElseThrow(), configuration, codec, wallClock)));
+	}
+
+	@Provides
+	@InstanceScope
+	static LeaderGateway gateway(InstanceSettings settings, Optional<LocalExecutor> replica, PeerChannels channels,
+			CommandCodec codec, ScheduledExecutorService timer, MonotonicClock clock) {
+		List<InstanceId> replicas = settings.peers()
+			.stream()
+			.filter(PeerSettings::replica)
+			.map(PeerSettings::instance)
+			.toList();
+		Optional<CommandExecutor> local = replica.map((known) -> known);
+		return new LeaderGateway(settings.instance(), local, replicas, channels, codec, timer, clock, COMMAND_TIMEOUT);
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/PlatformModule.java
@@ -0,0 +1,74 @@
+package io.verbenatrack.server;
+
+import java.time.InstantSource;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+import dagger.Module;
+import dagger.Provides;
+import org.eclipse.jetty.client.HttpClient;
+
+import io.verbenatrack.model.Closer;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.server.command.CommandCodec;
+import io.verbenatrack.server.http.ApiFormat;
+import io.verbenatrack.state.RecordCodec;
+
+/**
+ * Provides clocks, threads, codecs and the HTTP client.
+ */
+@Module
+final class PlatformModule {
+
+	private static final int CONNECTIONS_PER_DESTINATION = 16;
+
+	private PlatformModule() {
+	}
+
+	@Provides
+	static InstantSource wallClock() {
+		return InstantSource.system();
+	}
+
+	@Provides
+	static MonotonicClock monotonicClock() {
+		return MonotonicClock.system();
+	}
+
+	@Provides
+	@InstanceScope
+	static ScheduledExecutorService timer(Closer closer) {
+		ScheduledExecutorService timer = Executors
+			.newSingleThreadScheduledExecutor(Thread.ofPlatform().name("timer").daemon().factory());
+		closer.register(timer::shutdownNow);
+		return timer;
+	}
+
+	@Provides
+	@InstanceScope
+	static HttpClient client(Closer closer) {
+		HttpClient client = new HttpClient();
+		client.setMaxConnectionsPerDestination(CONNECTIONS_PER_DESTINATION);
+		closer.register(client::stop);
+		return client;
+	}
+
+	@Provides
+	@InstanceScope
+	static RecordCodec codec() {
+		return RecordCodec.cbor();
+	}
+
+	@Provides
+	@InstanceScope
+	static CommandCodec commandCodec() {
+		return new CommandCodec();
+	}
+
+	@Provides
+	@InstanceScope
+	static ApiFormat format() {
+		return new ApiFormat();
+	}
+
+}
--- a/server/src/main/java/io/verbenatrack/server/command/EntryCommand.java
+++ b/server/src/main/java/io/verbenatrack/server/command/EntryCommand.java
@@ -76,6 +76,22 @@
 
 	}
 
+	/**
+	 * Schedules by declarations that a quorum accepted.
+	 *
+	 * @param declarations the declarations
+	 */
+	record AdoptDeclarations(Declarations declarations) implements EntryCommand {
+
+	}
+
+	/**
+	 * A command that the state machine itself decides, not the scheduler.
+	 */
+	sealed interface Replicated extends EntryCommand {
+
+	}
+
 	/**
 	 * Changes the declarations.
 	 *
@@ -85,14 +101,14 @@
 	 * @param declarations all of the new declarations
 	 */
 	record ChangeDeclarations(ChangeId change, long expectedRevision, String operator,
-			Declarations declarations) implements EntryCommand {
+			Declarations declarations) implements Replicated {
 
 	}
 
 	/**
 	 * Asks for the declarations in force.
 	 */
-	record FetchDeclarations() implements EntryCommand {
+	record FetchDeclarations() implements Replicated {
 
 	}
 
@@ -113,7 +129,7 @@
 	 * @param retention how long the claim is kept
 	 */
 	record ClaimRequest(RequestSpec request, String bodyDigest, AttemptId attempt, InstanceId entry,
-			Duration retention) implements EntryCommand {
+			Duration retention) implements Replicated {
 
 	}
 
@@ -124,7 +140,7 @@
 	 * @param attempt the dispatch that was answered
 	 * @param answer the answer
 	 */
-	record KeepAnswer(RequestSpec request, AttemptId attempt, KeptAnswer answer) implements EntryCommand {
+	record KeepAnswer(RequestSpec request, AttemptId attempt, KeptAnswer answer) implements Replicated {
 
 	}
 
@@ -134,7 +150,7 @@
 	 * @param request the request
 	 * @param attempt the dispatch that did not begin
 	 */
-	record ReleaseClaim(RequestSpec request, AttemptId attempt) implements EntryCommand {
+	record ReleaseClaim(RequestSpec request, AttemptId attempt) implements Replicated {
 
 	}
 
--- a/server/src/main/java/io/verbenatrack/server/command/EntryReply.java
+++ b/server/src/main/java/io/verbenatrack/server/command/EntryReply.java
@@ -28,6 +28,15 @@
 
 	}
 
+	/**
+	 * The replica asked does not lead; nothing was recorded there.
+	 *
+	 * @param leader who leads, if that is known
+	 */
+	record NotLeading(Optional<InstanceId> leader) implements EntryReply {
+
+	}
+
 	/**
 	 * The command was recorded by a quorum.
 	 */
@@ -68,11 +77,11 @@
 	/**
 	 * Another configuration change came first.
 	 *
-	 * @param winner the change that has the revision
+	 * @param winner the change that has the revision, absent before the first change
 	 * @param operator who made it
 	 * @param current the revision in force
 	 */
-	record ChangeLost(ChangeId winner, String operator, Revision current) implements EntryReply {
+	record ChangeLost(Optional<ChangeId> winner, String operator, Revision current) implements EntryReply {
 
 	}
 
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/http/ApiAnswer.java
@@ -0,0 +1,44 @@
+package io.verbenatrack.server.http;
+
+import java.nio.charset.StandardCharsets;
+
+import io.verbenatrack.model.Problem;
+
+/**
+ * An answer of the HTTP API.
+ *
+ * @param status the HTTP status
+ * @param contentType the media type of the body
+ * @param body the body
+ */
+public record ApiAnswer(int status, String contentType, byte[] body) {
+
+	/** The media type of JSON. */
+	public static final String JSON = "application/json";
+
+	/**
+	 * An answer in plain text.
+	 * @param status the HTTP status
+	 * @param text the text
+	 * @return the answer
+	 */
+	public static ApiAnswer text(int status, String text) {
+		return new ApiAnswer(status, "text/plain; charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * An answer that tells a problem.
+	 * @param format writes JSON
+	 * @param problem the problem
+	 * @return the answer, with the status of the problem's kind
+	 */
+	public static ApiAnswer problem(ApiFormat format, Problem problem) {
+		ProblemBody body = new ProblemBody("refused", problem.kind().name(), problem.message(), problem.remedy());
+		return new ApiAnswer(problem.kind().httpStatus(), JSON, format.write(body));
+	}
+
+	private record ProblemBody(String outcome, String kind, String message, String remedy) {
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/http/DeclarationRoutes.java
@@ -0,0 +1,76 @@
+package io.verbenatrack.server.http;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenatrack.model.ChangeId;
+import io.verbenatrack.model.Declarations;
+import io.verbenatrack.model.Result;
+import io.verbenatrack.server.command.CommandExecutor;
+import io.verbenatrack.server.command.EntryCommand;
+import io.verbenatrack.settings.DeclarationsJson;
+
+/**
+ * Changes and shows the declarations.
+ */
+public final class DeclarationRoutes {
+
+	private static final String UNNAMED_OPERATOR = "unnamed";
+
+	private final CommandExecutor executor;
+
+	private final ApiFormat format;
+
+	private final ReplyAnswers answers;
+
+	/**
+	 * Creates the routes.
+	 * @param executor reaches the leading replica
+	 * @param format writes JSON
+	 */
+	public DeclarationRoutes(CommandExecutor executor, ApiFormat format) {
+		this.executor = executor;
+		this.format = format;
+		this.answers = new ReplyAnswers(format);
+	}
+
+	/**
+	 * The routes.
+	 * @return what this class answers
+	 */
+	public List<ApiRoute> routes() {
+		return List.of(ApiRoute.of("GET", "/v1/declarations", (call) -> fetch()),
+				ApiRoute.of("GET", "/v1/views/configuration", (call) -> fetch()),
+				ApiRoute.of("PUT", "/v1/declarations", this::change));
+	}
+
+	private CompletableFuture<ApiAnswer> fetch() {
+		return execute(new EntryCommand.FetchDeclarations());
+	}
+
+	private CompletableFuture<ApiAnswer> change(ApiCall call) {
+		long expected = number(call, "expectedRevision");
+		ChangeId change = new ChangeId(call.query().value("changeId").orElse(""));
+		String operator = call.query().value("operator").orElse(UNNAMED_OPERATOR);
+		return switch (DeclarationsJson.read(call.body())) {
+			case Result.Failure<Declarations> failure ->
+				CompletableFuture.completedFuture(ApiAnswer.problem(this.format, failure.problem()));
+			case Result.Success<Declarations> success ->
+				execute(new EntryCommand.ChangeDeclarations(change, expected, operator, success.value()));
+		};
+	}
+
+	private static long number(ApiCall call, String name) {
+		String text = call.query().value(name).orElse("");
+		if (!text.matches("\\d{1,18}")) {
+			throw new IllegalArgumentException("The parameter " + name + " is '" + text
+					+ "'. Give the number of the revision that the change was made from, such as 0.");
+		}
+		return Long.parseLong(text);
+	}
+
+	private CompletableFuture<ApiAnswer> execute(EntryCommand command) {
+		return this.executor.execute(command).thenApply(this.answers::of);
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/http/HealthRoutes.java
@@ -0,0 +1,46 @@
+package io.verbenatrack.server.http;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/**
+ * Tells the platform whether the instance lives and is ready.
+ */
+public final class HealthRoutes {
+
+	private static final int OK = 200;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final Supplier<Optional<String>> problem;
+
+	/**
+	 * Creates the routes.
+	 * @param problem why the instance is not ready, or empty when it is
+	 */
+	public HealthRoutes(Supplier<Optional<String>> problem) {
+		this.problem = problem;
+	}
+
+	/**
+	 * The routes.
+	 * @return what this class answers
+	 */
+	public List<ApiRoute> routes() {
+		return List.of(ApiRoute.of("GET", "/healthz", (call) -> done(ApiAnswer.text(OK, "alive\n"))),
+				ApiRoute.of("GET", "/readyz", (call) -> done(ready())));
+	}
+
+	private ApiAnswer ready() {
+		return this.problem.get()
+			.map((reason) -> ApiAnswer.text(UNAVAILABLE, reason + "\n"))
+			.orElseGet(() -> ApiAnswer.text(OK, "ready\n"));
+	}
+
+	private static CompletableFuture<ApiAnswer> done(ApiAnswer answer) {
+		return CompletableFuture.completedFuture(answer);
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/http/ViewRoutes.java
@@ -0,0 +1,74 @@
+package io.verbenatrack.server.http;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+import io.verbenatrack.scheduling.SchedulingView;
+import io.verbenatrack.server.command.CommandExecutor;
+import io.verbenatrack.server.command.EntryCommand;
+import io.verbenatrack.server.command.EntryReply;
+
+/**
+ * Shows operators the fleet, the jobs and the client accounts.
+ */
+public final class ViewRoutes {
+
+	private final CommandExecutor executor;
+
+	private final ReplyAnswers answers;
+
+	/**
+	 * Creates the routes.
+	 * @param executor reaches the leading replica
+	 * @param format writes JSON
+	 */
+	public ViewRoutes(CommandExecutor executor, ApiFormat format) {
+		this.executor = executor;
+		this.answers = new ReplyAnswers(format);
+	}
+
+	/**
+	 * The routes.
+	 * @return what this class answers
+	 */
+	public List<ApiRoute> routes() {
+		return List.of(ApiRoute.of("GET", "/v1/views/fleet", (call) -> view(ViewRoutes::fleet)),
+				ApiRoute.of("GET", "/v1/views/jobs", (call) -> view(ViewRoutes::jobs)),
+				ApiRoute.of("GET", "/v1/views/accounts", (call) -> view(ViewRoutes::accounts)));
+	}
+
+	private CompletableFuture<ApiAnswer> view(Function<SchedulingView, Object> part) {
+		return this.executor.execute(new EntryCommand.FetchView()).thenApply((reply) -> {
+			if (reply instanceof EntryReply.View view) {
+				return this.answers.json(part.apply(view.view()));
+			}
+			return this.answers.of(reply);
+		});
+	}
+
+	private static Object fleet(SchedulingView view) {
+		return new FleetBody(view.fragmentation(), view.workers());
+	}
+
+	private static Object jobs(SchedulingView view) {
+		return new JobsBody(view.jobs());
+	}
+
+	private static Object accounts(SchedulingView view) {
+		return new AccountsBody(view.accounts());
+	}
+
+	private record FleetBody(double fragmentation, List<SchedulingView.WorkerView> workers) {
+
+	}
+
+	private record JobsBody(List<SchedulingView.JobView> jobs) {
+
+	}
+
+	private record AccountsBody(List<SchedulingView.AccountView> accounts) {
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/leader/LeaderDuty.java
@@ -0,0 +1,336 @@
+package io.verbenatrack.server.leader;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
+
+import io.verbenatrack.control.Proposal;
+import io.verbenatrack.control.ReplicatedLog;
+import io.verbenatrack.model.Declarations;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.server.command.CommandExecutor;
+import io.verbenatrack.server.command.CommandProblems;
+import io.verbenatrack.server.command.EntryCommand;
+import io.verbenatrack.server.command.EntryReply;
+import io.verbenatrack.server.log.CommandKind;
+import io.verbenatrack.server.log.DecisionBatch;
+import io.verbenatrack.server.log.JobsState;
+import io.verbenatrack.state.RecordCodec;
+
+/**
+ * Decides on jobs while this replica leads, on a thread of its own.
+ *
+ * <p>
+ * Commands wait in a bounded ring. The thread decides on as many as it finds, proposes
+ * the decisions as one log entry, and answers callers and calls workers only once that
+ * entry is committed. Entries commit in order, so a reply that waits for the newest entry
+ * is true of everything decided before it.
+ */
+public final class LeaderDuty implements CommandExecutor, AutoCloseable {
+
+	/** The longest wait between two looks at leases and deadlines. */
+	static final Duration TICK = Duration.ofMillis(50);
+
+	private static final int MAXIMUM_COMMANDS_PER_BATCH = 512;
+
+	private static final int MAXIMUM_BATCHES_IN_FLIGHT = 64;
+
+	private static final Duration LEASE_MARGIN = Duration.ofSeconds(2);
+
+	private final ReplicatedLog log;
+
+	private final JobsState jobs;
+
+	private final RecordCodec codec;
+
+	private final MemberDispatcher dispatcher;
+
+	private final GangActions actions = new GangActions();
+
+	private final WorkerLeases leases;
+
+	private final InstantSource wallClock;
+
+	private final MonotonicClock clock;
+
+	private final LeaderLimits limits;
+
+	private final Supplier<Declarations> accepted;
+
+	private final Queue<Queued> commands;
+
+	private final Queue<Finished> finished = new ArrayBlockingQueue<>(2 * MAXIMUM_BATCHES_IN_FLIGHT);
+
+	private final Thread thread;
+
+	private SchedulingSession session;
+
+	private CompletableFuture<Optional<Long>> confirmation;
+
+	private long sessionTerm;
+
+	private long sequence;
+
+	private PendingBatch open = new PendingBatch();
+
+	private PendingBatch newestInFlight;
+
+	private int inFlight;
+
+	private long nextTickNanos;
+
+	private volatile boolean stopped;
+
+	/**
+	 * Creates the duty; {@link #start} starts it.
+	 * @param log the control log
+	 * @param jobs the committed state that the log drives
+	 * @param codec encodes batches
+	 * @param workers calls workers
+	 * @param timer times resends to workers
+	 * @param wallClock dates decisions
+	 * @param clock times leases
+	 * @param limits sizes and durations
+	 * @param accepted the declarations that a quorum accepted
+	 */
+	public LeaderDuty(ReplicatedLog log, JobsState jobs, RecordCodec codec, WorkerPort workers,
+			ScheduledExecutorService timer, InstantSource wallClock, MonotonicClock clock, LeaderLimits limits,
+			Supplier<Declarations> accepted) {
+		this.log = log;
+		this.accepted = accepted;
+		this.jobs = jobs;
+		this.codec = codec;
+		this.wallClock = wallClock;
+		this.clock = clock;
+		this.limits = limits;
+		this.leases = new WorkerLeases(limits.workerLease(), LEASE_MARGIN);
+		this.dispatcher = new MemberDispatcher(workers, timer, this.leases::url, this.actions::isCurrent);
+		this.commands = new ArrayBlockingQueue<>(limits.ringCapacity());
+		this.thread = Thread.ofPlatform().name("scheduling").unstarted(this::run);
+	}
+
+	/**
+	 * Starts the thread.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	@Override
+	public CompletableFuture<EntryReply> execute(EntryCommand command) {
+		CompletableFuture<EntryReply> caller = new CompletableFuture<>();
+		if (this.stopped || !this.commands.offer(new Queued(command, caller))) {
+			caller.complete(new EntryReply.Failed(CommandProblems.overloaded()));
+			return caller;
+		}
+		LockSupport.unpark(this.thread);
+		return caller;
+	}
+
+	private void run() {
+		while (!this.stopped) {
+			int handled = handleFinished();
+			observeLeadership();
+			handled += handleCommands();
+			passTime();
+			propose();
+			if (handled == 0) {
+				LockSupport.parkNanos(this, TICK.toNanos());
+			}
+		}
+		endSession();
+		rejectCommands();
+	}
+
+	private void observeLeadership() {
+		if (this.session != null && (!this.log.leads() || this.log.term() != this.sessionTerm)) {
+			endSession();
+		}
+		if (this.session != null || !this.log.leads() || this.inFlight > 0) {
+			return;
+		}
+		if (this.confirmation == null) {
+			this.confirmation = this.log.confirmLeadership();
+			this.confirmation.whenComplete((term, failure) -> LockSupport.unpark(this.thread));
+		}
+		else if (this.confirmation.isDone()) {
+			Optional<Long> term = this.confirmation.join();
+			this.confirmation = null;
+			term.ifPresent(this::beginSession);
+		}
+	}
+
+	private void beginSession(long term) {
+		JobsState.Copy copy = this.jobs.copy();
+		this.sessionTerm = term;
+		this.sequence = copy.sequence();
+		this.open = new PendingBatch();
+		this.newestInFlight = null;
+		this.session = new SchedulingSession(copy.scheduler(), this.leases, this.limits.workers());
+		this.leases.adopt(this.session.workers(), this.clock.nanoTime());
+		this.actions.adopt(copy.scheduler().view()).forEach(this.dispatcher::send);
+		this.session.adopt(this.accepted.get(), this.wallClock.instant(), this.open);
+	}
+
+	private void endSession() {
+		if (this.session == null) {
+			return;
+		}
+		this.session = null;
+		this.open.failed(new EntryReply.NotLeading(this.log.leader()));
+		this.open = new PendingBatch();
+	}
+
+	private int handleCommands() {
+		if (this.session == null) {
+			return rejectCommands();
+		}
+		int handled = 0;
+		while (handled < MAXIMUM_COMMANDS_PER_BATCH && this.inFlight < MAXIMUM_BATCHES_IN_FLIGHT) {
+			Queued queued = this.commands.poll();
+			if (queued == null) {
+				break;
+			}
+			EntryReply reply = decide(queued.command);
+			this.open.answerAfterCommit(queued.caller, reply);
+			handled++;
+		}
+		return handled;
+	}
+
+	private int rejectCommands() {
+		int handled = 0;
+		for (Queued queued = this.commands.poll(); queued != null; queued = this.commands.poll()) {
+			queued.caller.complete(new EntryReply.NotLeading(this.log.leader()));
+			handled++;
+		}
+		return handled;
+	}
+
+	private EntryReply decide(EntryCommand command) {
+		Instant now = this.wallClock.instant();
+		return switch (command) {
+			case EntryCommand.SubmitJob submit -> this.session.submit(submit.job(), now, this.open);
+			case EntryCommand.CancelJob cancel -> this.session.cancel(cancel, now, this.open);
+			case EntryCommand.FindJob find -> this.session.find(find);
+			case EntryCommand.AnnounceWorker announce ->
+				this.session.announce(announce, now, this.clock.nanoTime(), this.open);
+			case EntryCommand.DrainWorker drain -> this.session.drain(drain, now, this.open);
+			case EntryCommand.ReportMembers report -> this.session.report(report, now, this.open);
+			case EntryCommand.AdoptDeclarations adopt -> this.session.adopt(adopt.declarations(), now, this.open);
+			case EntryCommand.FetchView fetch -> new EntryReply.View(this.session.view());
+			case EntryCommand.Replicated replicated -> throw new IllegalStateException(
+					replicated + " is not for the scheduling thread. Send it to the control gateway.");
+		};
+	}
+
+	private void passTime() {
+		long now = this.clock.nanoTime();
+		if (this.session == null || now < this.nextTickNanos) {
+			return;
+		}
+		this.nextTickNanos = now + TICK.toNanos();
+		this.session.passTime(this.wallClock.instant(), now, this.open);
+	}
+
+	private void propose() {
+		if (this.session == null) {
+			return;
+		}
+		if (this.open.isEmpty()) {
+			answerWithoutEntry();
+			return;
+		}
+		if (this.inFlight >= MAXIMUM_BATCHES_IN_FLIGHT) {
+			return;
+		}
+		PendingBatch batch = this.open;
+		this.open = new PendingBatch();
+		this.newestInFlight = batch;
+		this.inFlight++;
+		byte[] command = this.codec.encode(new DecisionBatch(++this.sequence, batch.decisions()));
+		this.log.propose(CommandKind.DECISIONS.frame(command)).thenAccept((proposal) -> {
+			this.finished.add(new Finished(batch, proposal));
+			LockSupport.unpark(this.thread);
+		});
+	}
+
+	private void answerWithoutEntry() {
+		if (this.newestInFlight != null) {
+			this.newestInFlight.takeWaitersOf(this.open);
+		}
+		else {
+			this.open.committed();
+			this.open = new PendingBatch();
+		}
+	}
+
+	private int handleFinished() {
+		int handled = 0;
+		for (Finished next = this.finished.poll(); next != null; next = this.finished.poll()) {
+			this.inFlight--;
+			handle(next);
+			handled++;
+		}
+		return handled;
+	}
+
+	private void handle(Finished next) {
+		if (next.batch == this.newestInFlight) {
+			this.newestInFlight = null;
+		}
+		if (next.proposal instanceof Proposal.Committed committed && JobsState.isApplied(committed.result())) {
+			if (this.session != null) {
+				next.batch.decisions().forEach(this::carryOut);
+			}
+			next.batch.committed();
+			return;
+		}
+		next.batch.failed(failure(next.proposal));
+		endSession();
+	}
+
+	private EntryReply failure(Proposal proposal) {
+		return switch (proposal) {
+			case Proposal.Unknown unknown -> new EntryReply.Failed(CommandProblems.outcomeUnknown());
+			case Proposal.Refused refused -> new EntryReply.Failed(refused.problem());
+			// A batch that was committed but not applied took no effect, as if it was not
+			// logged.
+			case Proposal.NotLeader notLeader -> new EntryReply.NotLeading(notLeader.leader());
+			case Proposal.Committed committed -> new EntryReply.NotLeading(this.log.leader());
+		};
+	}
+
+	private void carryOut(SchedulingDecision decision) {
+		this.actions.after(decision).forEach(this.dispatcher::send);
+	}
+
+	@Override
+	public void close() {
+		this.stopped = true;
+		LockSupport.unpark(this.thread);
+		try {
+			this.thread.join();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private record Queued(EntryCommand command, CompletableFuture<EntryReply> caller) {
+
+	}
+
+	private record Finished(PendingBatch batch, Proposal proposal) {
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/leader/LeaderLimits.java
@@ -0,0 +1,14 @@
+package io.verbenatrack.server.leader;
+
+import java.time.Duration;
+
+/**
+ * Sizes and durations of the leading replica's duty.
+ *
+ * @param ringCapacity commands that may wait
+ * @param workers workers that may be announced
+ * @param workerLease how long a worker may go on without renewal
+ */
+public record LeaderLimits(int ringCapacity, int workers, Duration workerLease) {
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/leader/ReplicatedCommands.java
@@ -0,0 +1,164 @@
+package io.verbenatrack.server.leader;
+
+import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+import io.verbenatrack.control.Proposal;
+import io.verbenatrack.control.ReplicatedLog;
+import io.verbenatrack.model.ChangeId;
+import io.verbenatrack.model.Declarations;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.model.Result;
+import io.verbenatrack.routing.KeptAnswer;
+import io.verbenatrack.server.command.CommandProblems;
+import io.verbenatrack.server.command.EntryCommand;
+import io.verbenatrack.server.command.EntryReply;
+import io.verbenatrack.server.log.CommandKind;
+import io.verbenatrack.settings.DeclarationsJson;
+import io.verbenatrack.state.RecordCodec;
+import io.verbenatrack.state.claims.ClaimCodec;
+import io.verbenatrack.state.claims.ClaimReply;
+import io.verbenatrack.state.configuration.ChangeResult;
+import io.verbenatrack.state.configuration.ConfigurationCodec;
+import io.verbenatrack.state.configuration.ConfigurationInForce;
+import io.verbenatrack.state.configuration.ConfigurationState;
+
+/**
+ * Carries out the commands that the replicated state machines decide.
+ */
+public final class ReplicatedCommands {
+
+	private final ReplicatedLog log;
+
+	private final ConfigurationState configuration;
+
+	private final RecordCodec codec;
+
+	private final InstantSource wallClock;
+
+	/**
+	 * Creates the executor.
+	 * @param log takes the commands
+	 * @param configuration the accepted declarations
+	 * @param codec encodes kept answers
+	 * @param wallClock dates the expiry of claims
+	 */
+	public ReplicatedCommands(ReplicatedLog log, ConfigurationState configuration, RecordCodec codec,
+			InstantSource wallClock) {
+		this.log = log;
+		this.configuration = configuration;
+		this.codec = codec;
+		this.wallClock = wallClock;
+	}
+
+	/**
+	 * Carries out a command.
+	 * @param command the command
+	 * @return the reply; never completes exceptionally
+	 */
+	public CompletableFuture<EntryReply> execute(EntryCommand.Replicated command) {
+		return switch (command) {
+			case EntryCommand.ChangeDeclarations change -> change(change);
+			case EntryCommand.FetchDeclarations fetch -> declarations();
+			case EntryCommand.ClaimRequest claim -> claim(claim);
+			case EntryCommand.KeepAnswer keep -> propose(CommandKind.CLAIM, ClaimCodec.keepAnswer(keep.request().id(),
+					keep.request().account(), keep.attempt(), this.codec.encode(keep.answer())), this::claimReply);
+			case EntryCommand.ReleaseClaim release -> propose(CommandKind.CLAIM,
+					ClaimCodec.release(release.request().id(), release.request().account(), release.attempt()),
+					this::claimReply);
+		};
+	}
+
+	private CompletableFuture<EntryReply> change(EntryCommand.ChangeDeclarations change) {
+		byte[] declarations = DeclarationsJson.write(change.declarations()).getBytes(StandardCharsets.UTF_8);
+		byte[] command = ConfigurationCodec.change(change.change(), change.operator(), change.expectedRevision(),
+				declarations);
+		return propose(CommandKind.CONFIGURATION, command,
+				(result) -> changeReply(ConfigurationCodec.result(change.change(), result)));
+	}
+
+	private static EntryReply changeReply(ChangeResult result) {
+		return switch (result) {
+			case ChangeResult.Accepted accepted -> new EntryReply.ChangeAccepted(accepted.revision());
+			case ChangeResult.Lost lost -> new EntryReply.ChangeLost(lost.winner(), lost.operator(), lost.revision());
+			case ChangeResult.DifferentChange different -> new EntryReply.Failed(differentChange(different.change()));
+		};
+	}
+
+	private static Problem differentChange(ChangeId change) {
+		return new Problem(ProblemKind.CONFLICT, "Change " + change + " was sent before with other declarations.",
+				"Choose a new change id for new declarations.");
+	}
+
+	private CompletableFuture<EntryReply> declarations() {
+		return this.log.confirmLeadership().thenApply((term) -> {
+			if (term.isEmpty()) {
+				return new EntryReply.NotLeading(this.log.leader());
+			}
+			ConfigurationInForce inForce = this.configuration.inForce();
+			return new EntryReply.DeclarationsInForce(inForce.revision(), read(inForce));
+		});
+	}
+
+	/**
+	 * Reads accepted declarations.
+	 * @param inForce what was accepted
+	 * @return the declarations, empty before the first change
+	 */
+	public static Declarations read(ConfigurationInForce inForce) {
+		if (inForce.declarations().isEmpty()) {
+			return Declarations.EMPTY;
+		}
+		return switch (DeclarationsJson.read(inForce.declarations().toByteArray())) {
+			case Result.Success<Declarations> success -> success.value();
+			case Result.Failure<Declarations> failure -> throw new IllegalStateException(
+					"The accepted declarations cannot be read: " + failure.problem() + " Upgrade this instance.");
+		};
+	}
+
+	private CompletableFuture<EntryReply> claim(EntryCommand.ClaimRequest claim) {
+		byte[] command = ClaimCodec.claim(claim.request().id(), claim.request().account(), claim.bodyDigest(),
+				claim.entry(), claim.attempt(), this.wallClock.instant().plus(claim.retention()));
+		return propose(CommandKind.CLAIM, command, this::claimReply);
+	}
+
+	private EntryReply claimReply(byte[] result) {
+		return switch (ClaimCodec.reply(result)) {
+			case ClaimReply.Granted granted -> new EntryReply.ClaimGranted();
+			case ClaimReply.AlreadyRunning running -> new EntryReply.ClaimHeld(running.holder(), running.attempt());
+			case ClaimReply.Kept kept ->
+				new EntryReply.ClaimAnswered(this.codec.decode(kept.answer().toByteArray(), KeptAnswer.class));
+			case ClaimReply.DifferentRequest different -> new EntryReply.ClaimDiffers();
+			case ClaimReply.Done done -> new EntryReply.Recorded();
+			case ClaimReply.Expired expired -> new EntryReply.Recorded();
+			case ClaimReply.NoSuchClaim none ->
+				new EntryReply.Failed(CommandProblems.notFound("claim", "of this request"));
+			case ClaimReply.TooManyClaims many -> new EntryReply.Failed(new Problem(ProblemKind.OVERLOADED,
+					"Too many requests that may run at most once are remembered; this one was not run.",
+					"Send it again later, or raise limits.remembered-answers."));
+		};
+	}
+
+	private CompletableFuture<EntryReply> propose(CommandKind kind, byte[] command,
+			Function<byte[], EntryReply> onCommitted) {
+		return this.log.propose(kind.frame(command)).thenApply((proposal) -> switch (proposal) {
+			case Proposal.Committed committed -> onCommitted.apply(committed.result());
+			case Proposal.NotLeader notLeader -> new EntryReply.NotLeading(notLeader.leader());
+			case Proposal.Refused refused -> new EntryReply.Failed(refused.problem());
+			case Proposal.Unknown unknown -> new EntryReply.Failed(CommandProblems.outcomeUnknown());
+		});
+	}
+
+	/**
+	 * Proposes that old claims be forgotten; only the leading replica does so.
+	 */
+	public void expireClaims() {
+		if (this.log.leads()) {
+			propose(CommandKind.CLAIM, ClaimCodec.expire(this.wallClock.instant()), this::claimReply);
+		}
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/leader/SchedulingSession.java
@@ -0,0 +1,135 @@
+package io.verbenatrack.server.leader;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import io.verbenatrack.model.Declarations;
+import io.verbenatrack.model.JobOutcome;
+import io.verbenatrack.model.JobSpec;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.scheduling.Scheduler;
+import io.verbenatrack.scheduling.SchedulingEvent;
+import io.verbenatrack.scheduling.SchedulingView;
+import io.verbenatrack.server.command.CommandProblems;
+import io.verbenatrack.server.command.EntryCommand;
+import io.verbenatrack.server.command.EntryReply;
+import io.verbenatrack.server.command.WorkerReport;
+
+/**
+ * What the leading replica decides on, from when it begins to lead until it ends.
+ */
+final class SchedulingSession {
+
+	private final Scheduler scheduler;
+
+	private final WorkerLeases leases;
+
+	private final int maximumWorkers;
+
+	SchedulingSession(Scheduler scheduler, WorkerLeases leases, int maximumWorkers) {
+		this.scheduler = scheduler;
+		this.leases = leases;
+		this.maximumWorkers = maximumWorkers;
+	}
+
+	EntryReply submit(JobSpec job, Instant now, PendingBatch batch) {
+		Optional<SchedulingView.JobView> known = this.scheduler.job(job.id());
+		if (known.isPresent() && !known.get().job().equals(job)) {
+			return new EntryReply.Failed(new Problem(ProblemKind.CONFLICT,
+					"Job " + job.id() + " exists with another content.", "Choose a new id for a new job."));
+		}
+		if (known.isEmpty()) {
+			batch.add(this.scheduler.decide(new SchedulingEvent.JobSubmitted(job), now));
+		}
+		return status(job);
+	}
+
+	private EntryReply status(JobSpec job) {
+		return this.scheduler.job(job.id()).map(SchedulingSession::status).orElseGet(() -> notFound(job.id()));
+	}
+
+	EntryReply cancel(EntryCommand.CancelJob cancel, Instant now, PendingBatch batch) {
+		if (this.scheduler.job(cancel.job()).isEmpty()) {
+			return notFound(cancel.job());
+		}
+		batch.add(this.scheduler.decide(new SchedulingEvent.JobCancelled(cancel.job()), now));
+		return find(new EntryCommand.FindJob(cancel.job()));
+	}
+
+	EntryReply find(EntryCommand.FindJob find) {
+		return this.scheduler.job(find.job()).map(SchedulingSession::status).orElseGet(() -> notFound(find.job()));
+	}
+
+	private static EntryReply notFound(Object job) {
+		return new EntryReply.Failed(CommandProblems.notFound("job", job));
+	}
+
+	private static EntryReply status(SchedulingView.JobView job) {
+		if (job.outcome().isPresent() && job.outcome().get() instanceof JobOutcome.Refused refused) {
+			return new EntryReply.JobStatus(job.job().id(), job.phase(), refused.reason().toString(), job.outcome());
+		}
+		return new EntryReply.JobStatus(job.job().id(), job.phase(), job.reason(), job.outcome());
+	}
+
+	EntryReply announce(EntryCommand.AnnounceWorker announce, Instant now, long nowNanos, PendingBatch batch) {
+		WorkerId worker = announce.worker().id();
+		if (!this.leases.isKnown(worker) && this.leases.size() >= this.maximumWorkers) {
+			return new EntryReply.Failed(new Problem(ProblemKind.OVERLOADED,
+					"The fleet has " + this.maximumWorkers + " workers already.", "Raise limits.workers."));
+		}
+		boolean restarted = this.leases.renew(worker, announce.url(), announce.incarnation(), nowNanos);
+		if (restarted) {
+			batch.add(this.scheduler.decide(new SchedulingEvent.WorkerLost(worker), now));
+		}
+		batch.add(this.scheduler.decide(new SchedulingEvent.WorkerAnnounced(announce.worker()), now));
+		return new EntryReply.WorkerLease(this.leases.lease());
+	}
+
+	EntryReply drain(EntryCommand.DrainWorker drain, Instant now, PendingBatch batch) {
+		if (!this.leases.isKnown(drain.worker())) {
+			return new EntryReply.Failed(CommandProblems.notFound("worker", drain.worker()));
+		}
+		batch.add(this.scheduler.decide(new SchedulingEvent.WorkerDraining(drain.worker()), now));
+		return new EntryReply.Recorded();
+	}
+
+	EntryReply report(EntryCommand.ReportMembers command, Instant now, PendingBatch batch) {
+		for (WorkerReport report : command.reports()) {
+			batch.add(this.scheduler.decide(event(command.worker(), report), now));
+		}
+		return new EntryReply.Recorded();
+	}
+
+	private static SchedulingEvent event(WorkerId worker, WorkerReport report) {
+		return switch (report) {
+			case WorkerReport.MemberChange change ->
+				new SchedulingEvent.MemberReported(change.job(), change.token(), worker, change.report());
+			case WorkerReport.Usage usage -> new SchedulingEvent.UsageReported(usage.job(), usage.progress(),
+					usage.checkpointed(), usage.memoryGib());
+		};
+	}
+
+	EntryReply adopt(Declarations declarations, Instant now, PendingBatch batch) {
+		batch.add(this.scheduler.decide(new SchedulingEvent.DeclarationsInForce(declarations), now));
+		return new EntryReply.Recorded();
+	}
+
+	void passTime(Instant now, long nowNanos, PendingBatch batch) {
+		for (WorkerId worker : this.leases.removeExpired(nowNanos)) {
+			batch.add(this.scheduler.decide(new SchedulingEvent.WorkerLost(worker), now));
+		}
+		batch.add(this.scheduler.decide(new SchedulingEvent.TimePassed(), now));
+	}
+
+	SchedulingView view() {
+		return this.scheduler.view();
+	}
+
+	List<WorkerId> workers() {
+		return view().workers().stream().map((worker) -> worker.worker().id()).toList();
+	}
+
+}
--- a/server/src/main/java/io/verbenatrack/server/leader/WorkerLeases.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/WorkerLeases.java
@@ -53,6 +53,14 @@
 		return before != null && !before.incarnation.isEmpty() && !before.incarnation.equals(incarnation);
 	}
 
+	boolean isKnown(WorkerId worker) {
+		return this.entries.containsKey(worker);
+	}
+
+	int size() {
+		return this.entries.size();
+	}
+
 	Optional<String> url(WorkerId worker) {
 		return Optional.ofNullable(this.entries.get(worker)).map(Entry::url).filter((url) -> !url.isEmpty());
 	}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/log/ControlStateMachine.java
@@ -0,0 +1,74 @@
+package io.verbenatrack.server.log;
+
+import io.verbenatrack.control.StateMachine;
+import io.verbenatrack.state.RecordCodec;
+import io.verbenatrack.state.claims.ClaimState;
+import io.verbenatrack.state.configuration.ConfigurationState;
+
+/**
+ * Gives each log command to the state that it belongs to.
+ */
+public final class ControlStateMachine implements StateMachine {
+
+	private static final int FORMAT = 1;
+
+	private final ConfigurationState configuration;
+
+	private final ClaimState claims;
+
+	private final JobsState jobs;
+
+	private final RecordCodec codec;
+
+	/**
+	 * Creates the state machine.
+	 * @param configuration the accepted declarations
+	 * @param claims the claims on requests
+	 * @param jobs the jobs and workers
+	 * @param codec encodes snapshots
+	 */
+	public ControlStateMachine(ConfigurationState configuration, ClaimState claims, JobsState jobs, RecordCodec codec) {
+		this.configuration = configuration;
+		this.claims = claims;
+		this.jobs = jobs;
+		this.codec = codec;
+	}
+
+	@Override
+	public byte[] apply(long index, byte[] framed) {
+		byte[] command = CommandKind.unframe(framed);
+		return switch (CommandKind.of(framed)) {
+			case CONFIGURATION -> this.configuration.apply(command);
+			case CLAIM -> this.claims.apply(command);
+			case DECISIONS -> this.jobs.apply(command);
+		};
+	}
+
+	@Override
+	public void epochRaised(long index, long epoch) {
+		this.configuration.raiseEpoch(epoch);
+	}
+
+	@Override
+	public byte[] snapshot() {
+		return this.codec
+			.encode(new Snapshot(FORMAT, this.configuration.snapshot(), this.claims.snapshot(), this.jobs.snapshot()));
+	}
+
+	@Override
+	public void restore(byte[] bytes) {
+		Snapshot snapshot = this.codec.decode(bytes, Snapshot.class);
+		if (snapshot.format() != FORMAT) {
+			throw new IllegalStateException("The snapshot has format " + snapshot.format() + ", and this version reads "
+					+ FORMAT + ". Upgrade this instance.");
+		}
+		this.configuration.restore(snapshot.configuration());
+		this.claims.restore(snapshot.claims());
+		this.jobs.restore(snapshot.jobs());
+	}
+
+	private record Snapshot(int format, byte[] configuration, byte[] claims, byte[] jobs) {
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/log/JobsState.java
@@ -0,0 +1,99 @@
+package io.verbenatrack.server.log;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+
+import io.verbenatrack.scheduling.Scheduler;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.scheduling.SchedulingView;
+import io.verbenatrack.state.RecordCodec;
+
+/**
+ * The committed state of all jobs and workers.
+ */
+public final class JobsState {
+
+	private static final byte[] APPLIED = { 1 };
+
+	private static final byte[] STALE = { 0 };
+
+	private final Supplier<Scheduler> schedulers;
+
+	private final RecordCodec codec;
+
+	private Scheduler committed;
+
+	private long sequence;
+
+	/**
+	 * Creates an empty state.
+	 * @param schedulers creates empty schedulers
+	 * @param codec encodes batches
+	 */
+	public JobsState(Supplier<Scheduler> schedulers, RecordCodec codec) {
+		this.schedulers = schedulers;
+		this.codec = codec;
+		this.committed = schedulers.get();
+	}
+
+	synchronized byte[] apply(byte[] command) {
+		DecisionBatch batch = this.codec.decode(command, DecisionBatch.class);
+		if (batch.sequence() != this.sequence + 1) {
+			return STALE.clone();
+		}
+		this.sequence = batch.sequence();
+		this.committed.apply(batch.decisions());
+		return APPLIED.clone();
+	}
+
+	/**
+	 * Whether a batch took effect.
+	 * @param result what applying it returned
+	 * @return whether its sequence followed the batch before
+	 */
+	public static boolean isApplied(byte[] result) {
+		return result.length == 1 && result[0] == APPLIED[0];
+	}
+
+	/**
+	 * Copies the state for a leader to decide on.
+	 * @return the copy
+	 */
+	public synchronized Copy copy() {
+		Scheduler copy = this.schedulers.get();
+		copy.apply(this.committed.replay());
+		return new Copy(this.sequence, copy);
+	}
+
+	/**
+	 * What operators see.
+	 * @return a copy of the committed state
+	 */
+	public synchronized SchedulingView view() {
+		return this.committed.view();
+	}
+
+	synchronized byte[] snapshot() {
+		return this.codec.encode(new DecisionBatch(this.sequence, this.committed.replay()));
+	}
+
+	synchronized void restore(byte[] snapshot) {
+		DecisionBatch batch = this.codec.decode(snapshot, DecisionBatch.class);
+		List<SchedulingDecision> decisions = new ArrayList<>(batch.decisions());
+		this.committed = this.schedulers.get();
+		this.committed.apply(decisions);
+		this.sequence = batch.sequence();
+	}
+
+	/**
+	 * A state that a leader decides on.
+	 *
+	 * @param sequence the sequence of the last batch in it
+	 * @param scheduler the scheduler
+	 */
+	public record Copy(long sequence, Scheduler scheduler) {
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/peer/PeerCaller.java
@@ -0,0 +1,108 @@
+package io.verbenatrack.server.peer;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.protocol.entry.CommandReply;
+import io.verbenatrack.protocol.entry.CommandRequest;
+import io.verbenatrack.protocol.entry.EntryServiceGrpc;
+import io.verbenatrack.server.command.CommandCodec;
+import io.verbenatrack.server.command.EntryCommand;
+import io.verbenatrack.server.command.EntryReply;
+
+/**
+ * Sends commands to one other instance.
+ */
+final class PeerCaller {
+
+	private final PeerChannels channels;
+
+	private final CommandCodec codec;
+
+	PeerCaller(PeerChannels channels, CommandCodec codec) {
+		this.channels = channels;
+		this.codec = codec;
+	}
+
+	CompletableFuture<Answer> call(InstanceId instance, EntryCommand command, Duration timeout) {
+		CompletableFuture<Answer> result = new CompletableFuture<>();
+		ManagedChannel channel = this.channels.channel(instance).orElse(null);
+		if (channel == null) {
+			result.complete(new Answer.Silent(false));
+			return result;
+		}
+		CommandRequest request = CommandRequest.newBuilder()
+			.setCommand(ByteString.copyFrom(this.codec.encode(command)))
+			.build();
+		EntryServiceGrpc.newStub(channel)
+			.withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS)
+			.execute(request, new ReplyObserver(result, instance, channel));
+		return result;
+	}
+
+	/** How a call ended. */
+	sealed interface Answer {
+
+		/**
+		 * The instance replied.
+		 *
+		 * @param reply the reply
+		 */
+		record Replied(EntryReply reply) implements Answer {
+
+		}
+
+		/**
+		 * Nothing came back.
+		 *
+		 * @param sent whether the command may have arrived
+		 */
+		record Silent(boolean sent) implements Answer {
+
+		}
+
+	}
+
+	private final class ReplyObserver implements StreamObserver<CommandReply> {
+
+		private final CompletableFuture<Answer> result;
+
+		private final InstanceId instance;
+
+		private final ManagedChannel channel;
+
+		private ReplyObserver(CompletableFuture<Answer> result, InstanceId instance, ManagedChannel channel) {
+			this.result = result;
+			this.instance = instance;
+			this.channel = channel;
+		}
+
+		@Override
+		public void onNext(CommandReply reply) {
+			this.result.complete(new Answer.Replied(PeerCaller.this.codec.reply(reply.getReply().toByteArray())));
+		}
+
+		@Override
+		public void onError(Throwable failure) {
+			Status status = Status.fromThrowable(failure);
+			if (status.getCode() == Status.Code.DEADLINE_EXCEEDED) {
+				PeerCaller.this.channels.replace(this.instance, this.channel);
+			}
+			this.result.complete(new Answer.Silent(true));
+		}
+
+		@Override
+		public void onCompleted() {
+			this.result.complete(new Answer.Silent(true));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/peer/PeerService.java
@@ -0,0 +1,66 @@
+package io.verbenatrack.server.peer;
+
+import java.util.function.Consumer;
+
+import com.google.protobuf.ByteString;
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+
+import io.verbenatrack.protocol.entry.CommandReply;
+import io.verbenatrack.protocol.entry.CommandRequest;
+import io.verbenatrack.protocol.entry.EntryServiceGrpc;
+import io.verbenatrack.protocol.entry.TargetsReceipt;
+import io.verbenatrack.protocol.entry.TargetsUpdate;
+import io.verbenatrack.server.command.CommandCodec;
+import io.verbenatrack.server.command.CommandExecutor;
+import io.verbenatrack.server.command.EntryCommand;
+
+/**
+ * Serves the calls of other instances.
+ */
+public final class PeerService extends EntryServiceGrpc.EntryServiceImplBase {
+
+	private final CommandExecutor local;
+
+	private final CommandCodec codec;
+
+	private final Consumer<TargetsUpdate> targets;
+
+	/**
+	 * Creates the service.
+	 * @param local carries out commands on this replica only
+	 * @param codec encodes commands and replies
+	 * @param targets takes what another instance knows of targets
+	 */
+	public PeerService(CommandExecutor local, CommandCodec codec, Consumer<TargetsUpdate> targets) {
+		this.local = local;
+		this.codec = codec;
+		this.targets = targets;
+	}
+
+	@Override
+	public void execute(CommandRequest request, StreamObserver<CommandReply> observer) {
+		EntryCommand command;
+		try {
+			command = this.codec.command(request.getCommand().toByteArray());
+		}
+		catch (RuntimeException ex) {
+			observer.onError(Status.INVALID_ARGUMENT.withDescription("Unknown command: " + ex.getMessage())
+				.asRuntimeException());
+			return;
+		}
+		this.local.execute(command).thenAccept((reply) -> {
+			ByteString bytes = ByteString.copyFrom(this.codec.encode(reply));
+			observer.onNext(CommandReply.newBuilder().setReply(bytes).build());
+			observer.onCompleted();
+		});
+	}
+
+	@Override
+	public void updateTargets(TargetsUpdate update, StreamObserver<TargetsReceipt> observer) {
+		this.targets.accept(update);
+		observer.onNext(TargetsReceipt.getDefaultInstance());
+		observer.onCompleted();
+	}
+
+}
--- a/server/src/main/java/io/verbenatrack/server/routing/package-info.java
+++ /dev/null
@@ -1,4 +0,0 @@
-/**
- * Carries requests between callers and targets over HTTP.
- */
-package io.verbenatrack.server.routing;
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/worker/HttpWorkerPort.java
@@ -0,0 +1,77 @@
+package io.verbenatrack.server.worker;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpMethod;
+
+import io.verbenatrack.server.http.ApiFormat;
+import io.verbenatrack.server.leader.MemberAction;
+import io.verbenatrack.server.leader.WorkerPort;
+
+/**
+ * Calls workers over HTTP.
+ */
+public final class HttpWorkerPort implements WorkerPort {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+	private static final int TAKEN = 200;
+
+	private static final int FENCED = 409;
+
+	private final HttpClient client;
+
+	private final ApiFormat format;
+
+	private final Duration lease;
+
+	/**
+	 * Creates the port.
+	 * @param client sends the calls
+	 * @param format writes the bodies
+	 * @param lease the lease that members run under
+	 */
+	public HttpWorkerPort(HttpClient client, ApiFormat format, Duration lease) {
+		this.client = client;
+		this.format = format;
+		this.lease = lease;
+	}
+
+	@Override
+	public CompletableFuture<Delivery> send(String url, MemberAction action) {
+		CompletableFuture<Delivery> delivery = new CompletableFuture<>();
+		MemberBody body = new MemberBody(action.job().value(), action.token().value(),
+				action.kind().name().toLowerCase(Locale.ROOT), action.slot().firstAccelerator(),
+				action.slot().accelerators(), this.lease.toMillis(), action.runTime().toMillis(),
+				action.grace().toMillis());
+		this.client.newRequest(url + "/v1/members")
+			.method(HttpMethod.POST)
+			.timeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+			.body(new BytesRequestContent("application/json", this.format.write(body)))
+			.send((result) -> delivery.complete(delivery(result)));
+		return delivery;
+	}
+
+	private static Delivery delivery(Result result) {
+		if (result.isFailed()) {
+			return Delivery.UNKNOWN;
+		}
+		return switch (result.getResponse().getStatus()) {
+			case TAKEN -> Delivery.TAKEN;
+			case FENCED -> Delivery.FENCED;
+			default -> Delivery.UNKNOWN;
+		};
+	}
+
+	private record MemberBody(String job, long token, String action, int firstAccelerator, int accelerators,
+			long leaseMs, long runTimeMs, long graceMs) {
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/worker/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls to workers.
+ */
+package io.verbenatrack.server.worker;
--- /dev/null
+++ b/standin/src/main/java/io/verbenatrack/standin/StandinHandler.java
@@ -0,0 +1,131 @@
+package io.verbenatrack.standin;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Answers the calls to stand-in workers and targets.
+ */
+final class StandinHandler extends Handler.Abstract.NonBlocking {
+
+	private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
+
+	private static final int CONFLICT = 409;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int KIND = 1;
+
+	private static final int NAME = 2;
+
+	private final Map<String, StandinWorker> workers;
+
+	private final Map<String, StandinTarget> targets;
+
+	private final WorkTable table;
+
+	private final ScheduledExecutorService timer;
+
+	private final ObjectMapper mapper;
+
+	StandinHandler(Map<String, StandinWorker> workers, Map<String, StandinTarget> targets, WorkTable table,
+			ScheduledExecutorService timer, ObjectMapper mapper) {
+		this.workers = workers;
+		this.targets = targets;
+		this.table = table;
+		this.timer = timer;
+		this.mapper = mapper;
+	}
+
+	@Override
+	public boolean handle(Request request, Response response, Callback callback) {
+		String[] path = Request.getPathInContext(request).split("/");
+		Content.Source.asByteBufferAsync(request, MAXIMUM_BODY_BYTES).whenComplete((body, failure) -> {
+			if (failure != null) {
+				callback.failed(failure);
+				return;
+			}
+			byte[] bytes = BufferUtil.toArray(body);
+			if (path[KIND].equals("workers") && this.workers.containsKey(path[NAME])) {
+				member(this.workers.get(path[NAME]), bytes, response, callback);
+			}
+			else if (path[KIND].equals("targets") && this.targets.containsKey(path[NAME])) {
+				serve(this.targets.get(path[NAME]), request, bytes, response, callback);
+			}
+			else {
+				write(response, callback, NOT_FOUND, new byte[0]);
+			}
+		});
+		return true;
+	}
+
+	private void member(StandinWorker worker, byte[] body, Response response, Callback callback) {
+		try {
+			long newest = worker.act(this.mapper.readValue(body, MemberCall.class));
+			byte[] answer = (newest != 0) ? ("{\"highestToken\": " + newest + "}").getBytes(StandardCharsets.UTF_8)
+					: "{}".getBytes(StandardCharsets.UTF_8);
+			write(response, callback, (newest != 0) ? CONFLICT : 200, answer);
+		}
+		catch (Exception ex) {
+			callback.failed(ex);
+		}
+	}
+
+	private void serve(StandinTarget target, Request request, byte[] body, Response response, Callback callback) {
+		String id = request.getHeaders().get("Verbenatrack-Request-Id");
+		response.getHeaders().put("Verbenatrack-Attempt", request.getHeaders().get("Verbenatrack-Attempt"));
+		if (!target.begin(id)) {
+			response.getHeaders().put("Verbenatrack-Not-Begun", "true");
+			write(response, callback, UNAVAILABLE, new byte[0]);
+			return;
+		}
+		Duration work = this.table.serviceTime(id);
+		this.timer.schedule(() -> {
+			target.end();
+			byte[] answer = answer(target, id, body);
+			response.getHeaders().put("Verbenatrack-Digest", "sha-256=" + digest(answer));
+			write(response, callback, 200, answer);
+		}, work.toNanos(), TimeUnit.NANOSECONDS);
+	}
+
+	private static byte[] answer(StandinTarget target, String id, byte[] body) {
+		return ("{\"request\": \"" + id + "\", \"target\": \"" + target.id() + "\", \"bodyBytes\": " + body.length
+				+ "}")
+			.getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static String digest(byte[] answer) {
+		try {
+			return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(answer));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static void write(Response response, Callback callback, int status, byte[] body) {
+		response.setStatus(status);
+		response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+		response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+		response.write(true, ByteBuffer.wrap(body), callback);
+	}
+
+}
--- /dev/null
+++ b/standin/src/main/java/io/verbenatrack/standin/StandinWorker.java
@@ -0,0 +1,205 @@
+package io.verbenatrack.standin;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.WorkerSpec;
+
+/**
+ * Runs members of gangs by waiting as long as they would run.
+ *
+ * <p>
+ * It refuses any lease older than the newest it has seen for a job, so that a member runs
+ * under one lease at a time. Reports wait in order until an instance recorded them.
+ */
+public final class StandinWorker {
+
+	private static final int MAXIMUM_REPORTS_PER_CALL = 200;
+
+	private final WorkerSpec spec;
+
+	private final WorkTable table;
+
+	private final ScheduledExecutorService timer;
+
+	private final MonotonicClock clock;
+
+	private final Map<String, Member> members = new HashMap<>();
+
+	private final Map<String, Long> newestTokens = new HashMap<>();
+
+	private final Map<String, Duration> saved = new HashMap<>();
+
+	private final Queue<MemberReportBody> reports = new ArrayDeque<>();
+
+	private int starts;
+
+	/**
+	 * Creates an idle worker.
+	 * @param spec what it announces
+	 * @param table how long work truly takes
+	 * @param timer times the work
+	 * @param clock reads the time
+	 */
+	public StandinWorker(WorkerSpec spec, WorkTable table, ScheduledExecutorService timer, MonotonicClock clock) {
+		this.spec = spec;
+		this.table = table;
+		this.timer = timer;
+		this.clock = clock;
+	}
+
+	/**
+	 * What the worker announces.
+	 * @return its spec
+	 */
+	public WorkerSpec spec() {
+		return this.spec;
+	}
+
+	/**
+	 * How many members it started.
+	 * @return the count since it was created
+	 */
+	public synchronized int starts() {
+		return this.starts;
+	}
+
+	/**
+	 * Carries out an action.
+	 * @param call the action
+	 * @return the newest token when it is newer than that of the call, else 0
+	 */
+	synchronized long act(MemberCall call) {
+		long newest = this.newestTokens.getOrDefault(call.job(), 0L);
+		if (call.token() < newest) {
+			return newest;
+		}
+		if (call.token() > newest) {
+			this.newestTokens.put(call.job(), call.token());
+			discard(call.job());
+		}
+		switch (call.action()) {
+			case "prepare" -> prepare(call);
+			case "start" -> start(call);
+			case "checkpoint" -> checkpoint(call);
+			case "stop" -> stop(call);
+			default -> throw new IllegalArgumentException(
+					"action is '" + call.action() + "'. Use prepare, start, checkpoint or stop.");
+		}
+		return 0;
+	}
+
+	private void prepare(MemberCall call) {
+		this.members.computeIfAbsent(call.job(), (job) -> new Member(call));
+		report(call, "prepared");
+	}
+
+	private void start(MemberCall call) {
+		Member member = this.members.get(call.job());
+		if (member == null) {
+			report(call, "failed");
+			return;
+		}
+		if (member.work == null) {
+			Duration total = this.table.runTime(call.job(), Duration.ofMillis(call.runTimeMs()));
+			Duration left = total.minus(this.saved.getOrDefault(call.job(), Duration.ZERO));
+			member.startedNanos = this.clock.nanoTime();
+			member.work = this.timer.schedule(() -> finish(call), Math.max(0, left.toNanos()), TimeUnit.NANOSECONDS);
+			this.starts++;
+		}
+		report(call, "started");
+	}
+
+	private synchronized void finish(MemberCall call) {
+		Member member = this.members.get(call.job());
+		if (member != null && member.token == call.token()) {
+			this.members.remove(call.job());
+			report(call, "finished");
+		}
+	}
+
+	private void checkpoint(MemberCall call) {
+		Member member = this.members.get(call.job());
+		if (member == null || member.work == null) {
+			return;
+		}
+		Duration run = Duration.ofNanos(this.clock.nanoTime() - member.startedNanos);
+		Duration before = member.savedBefore;
+		this.saved.put(call.job(), before.plus(run));
+		long savedMillis = this.saved.get(call.job()).toMillis();
+		this.reports.add(new MemberReportBody(call.job(), call.token(), "usage", savedMillis, savedMillis, 0));
+		report(call, "checkpointed");
+	}
+
+	private void stop(MemberCall call) {
+		discard(call.job());
+		report(call, "stopped");
+	}
+
+	private void discard(String job) {
+		Member member = this.members.remove(job);
+		if (member != null && member.work != null) {
+			member.work.cancel(false);
+		}
+	}
+
+	private void report(MemberCall call, String report) {
+		this.reports.add(MemberReportBody.of(call, report));
+	}
+
+	/**
+	 * The reports that no instance has recorded yet.
+	 * @return the oldest of them
+	 */
+	synchronized List<MemberReportBody> unrecorded() {
+		List<MemberReportBody> oldest = new ArrayList<>();
+		for (MemberReportBody report : this.reports) {
+			if (oldest.size() == MAXIMUM_REPORTS_PER_CALL) {
+				break;
+			}
+			oldest.add(report);
+		}
+		return oldest;
+	}
+
+	synchronized void recorded(int count) {
+		for (int i = 0; i < count; i++) {
+			this.reports.remove();
+		}
+	}
+
+	/**
+	 * Stops everything, since the lease ran out.
+	 */
+	synchronized void leaseRanOut() {
+		List.copyOf(this.members.keySet()).forEach(this::discard);
+		this.reports.clear();
+	}
+
+	private final class Member {
+
+		private final long token;
+
+		private final Duration savedBefore;
+
+		private long startedNanos;
+
+		private ScheduledFuture<?> work;
+
+		private Member(MemberCall call) {
+			this.token = call.token();
+			this.savedBefore = StandinWorker.this.saved.getOrDefault(call.job(), Duration.ZERO);
+		}
+
+	}
+
+}
--- a/state/src/main/java/io/verbenatrack/state/RecordCodec.java
+++ b/state/src/main/java/io/verbenatrack/state/RecordCodec.java
@@ -86,7 +86,12 @@
 	private static void registerSealed(ObjectMapper mapper, Class<?> type) {
 		mapper.addMixIn(type, SealedFormat.class);
 		for (Class<?> permitted : type.getPermittedSubclasses()) {
-			mapper.registerSubtypes(new NamedType(permitted, permitted.getSimpleName()));
+			if (permitted.isSealed()) {
+				registerSealed(mapper, permitted);
+			}
+			else {
+				mapper.registerSubtypes(new NamedType(permitted, permitted.getSimpleName()));
+			}
 		}
 	}
 
