Play every fault at every step of the request charts

Found by it: a doubled reply of the claim store released a claim in use; such a reply is now ignored.

--- a/routing/src/main/java/io/verbenatrack/routing/AdmissionFlow.java
+++ b/routing/src/main/java/io/verbenatrack/routing/AdmissionFlow.java
@@ -74,7 +74,7 @@
 		if (exchange.claimed() == null) {
 			exchange.claimFor(this.context.nextAttempt());
 		}
-		exchange.storeStepBegan();
+		exchange.claimBegan();
 		this.context.decide(new RoutingDecision.Claim(exchange.id(), exchange.request(), exchange.accepted().body(),
 				exchange.claimed()));
 	}
@@ -86,7 +86,9 @@
 	}
 
 	void claimSettled(Exchange exchange, ClaimResult result) {
-		exchange.storeStepEnded();
+		if (!exchange.claimEnded()) {
+			return;
+		}
 		boolean own = result instanceof ClaimResult.AlreadyRunning running
 				&& running.attempt().equals(exchange.claimed());
 		ClaimResult settled = own ? new ClaimResult.Granted() : result;
--- a/routing/src/main/java/io/verbenatrack/routing/Exchange.java
+++ b/routing/src/main/java/io/verbenatrack/routing/Exchange.java
@@ -34,6 +34,8 @@
 
 	private int rechecks;
 
+	private boolean claimOutstanding;
+
 	private boolean claimHeld;
 
 	private boolean mayHaveRun;
@@ -134,6 +136,24 @@
 		this.claimed = attempt;
 	}
 
+	void claimBegan() {
+		this.claimOutstanding = true;
+		storeStepBegan();
+	}
+
+	/**
+	 * Ends the wait for the claim store.
+	 * @return whether it was awaited; a doubled reply is not
+	 */
+	boolean claimEnded() {
+		boolean awaited = this.claimOutstanding;
+		this.claimOutstanding = false;
+		if (awaited) {
+			storeStepEnded();
+		}
+		return awaited;
+	}
+
 	boolean claimHeld() {
 		return this.claimHeld;
 	}
--- /dev/null
+++ b/routing/src/test/java/io/verbenatrack/routing/SimulatedRun.java
@@ -0,0 +1,380 @@
+package io.verbenatrack.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.AttemptId;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.RequestId;
+import io.verbenatrack.model.RequestOutcome;
+import io.verbenatrack.model.RequestSpec;
+
+/**
+ * Drives routers through one request on a virtual clock, with faults at named steps.
+ */
+final class SimulatedRun {
+
+	static final long SEED = 7;
+
+	static final long MILLI = 1_000_000;
+
+	private static final long DEADLINE = 1000 * MILLI;
+
+	private static final long SLOW = 300 * MILLI;
+
+	private static final long END = 30_000 * MILLI;
+
+	private static final BodyDigest BODY = BodyDigest.of(new byte[] { 1 });
+
+	private final boolean idempotent;
+
+	private final boolean large;
+
+	private final Map<String, List<Fault>> faults = new HashMap<>();
+
+	private final SimulatedTargets targets = new SimulatedTargets(3, 1);
+
+	private final LocalClaimStore claims = new LocalClaimStore(new InstanceId("i"), () -> Instant.EPOCH,
+			Duration.ofHours(1), 100);
+
+	private final PriorityQueue<Due> agenda = new PriorityQueue<>(
+			Comparator.comparingLong(Due::at).thenComparingLong(Due::sequence));
+
+	private final List<String> told = new ArrayList<>();
+
+	private final Map<AttemptId, Carriage> carriages = new HashMap<>();
+
+	private Instance instance;
+
+	private long now;
+
+	private long sequence;
+
+	private int instances;
+
+	private boolean callerListens;
+
+	SimulatedRun(boolean idempotent, boolean large) {
+		this.idempotent = idempotent;
+		this.large = large;
+	}
+
+	void fault(String step, Fault fault) {
+		this.faults.computeIfAbsent(step, (key) -> new ArrayList<>()).add(fault);
+	}
+
+	List<String> told() {
+		return this.told;
+	}
+
+	List<SimulatedTargets.Run> runs() {
+		return this.targets.runs();
+	}
+
+	int leftOpen() {
+		return this.instance.dead ? 0 : this.instance.router.open();
+	}
+
+	/**
+	 * Sends the request, and again when the caller learned nothing or not enough.
+	 * @return this run, ended
+	 */
+	SimulatedRun play() {
+		boolean cancelled = send();
+		boolean resend = !cancelled && (this.told.isEmpty() || this.told.getLast().equals("cut")
+				|| (!this.idempotent && this.told.getLast().equals("unknown")));
+		if (resend) {
+			this.faults.clear();
+			send();
+		}
+		return this;
+	}
+
+	private boolean send() {
+		boolean cancels = this.faults.values().stream().anyMatch((all) -> all.contains(Fault.CANCELLATION));
+		this.instance = new Instance(this.instances++);
+		this.callerListens = true;
+		int before = this.told.size();
+		RequestSpec spec = new RequestSpec(new RequestId("r-1"), SimulatedTargets.SERVICE, new AccountId("vans"),
+				this.idempotent, Instant.EPOCH);
+		this.instance
+			.handle(new RoutingEvent.Accepted(new ExchangeId(0), spec, BODY, this.now + DEADLINE, true, false));
+		long end = this.now + END;
+		this.instance.scheduleTick();
+		while (!this.agenda.isEmpty() && this.agenda.peek().at() <= end) {
+			Due due = this.agenda.poll();
+			this.now = Math.max(this.now, due.at());
+			due.action().run();
+			this.instance.scheduleTick();
+		}
+		if (this.told.size() == before) {
+			this.told.add("cut");
+		}
+		return cancels && !this.callerListens;
+	}
+
+	private void in(long delay, Runnable action) {
+		this.agenda.add(new Due(this.now + delay, this.sequence++, action));
+	}
+
+	private List<Fault> take(String step) {
+		List<Fault> due = this.faults.remove(step);
+		return (due != null) ? due : List.of();
+	}
+
+	/**
+	 * Applies the faults of a step that strike at once.
+	 * @param step the step
+	 * @return those that strike the work under way
+	 */
+	private List<Fault> strike(String step) {
+		List<Fault> rest = new ArrayList<>();
+		for (Fault fault : take(step)) {
+			switch (fault) {
+				case OUR_DEATH -> this.instance.die();
+				case CALLER_GONE, CANCELLATION -> {
+					this.callerListens = false;
+					this.instance.handle(new RoutingEvent.CallerGone(new ExchangeId(0)));
+				}
+				case DRAIN -> this.instance.handle(new RoutingEvent.DrainBegan(this.now + END));
+				default -> rest.add(fault);
+			}
+		}
+		return rest;
+	}
+
+	private record Due(long at, long sequence, Runnable action) {
+
+	}
+
+	private final class Instance {
+
+		private final RequestRouter router;
+
+		private boolean dead;
+
+		private Instance(int number) {
+			this.router = new RequestRouter(new InstanceId("i-" + number), SimulatedTargets.ZONE,
+					SimulatedRun.this.targets, (account) -> 1, RoutingSettings.STANDARD,
+					new SplittableRandom(SEED + number));
+		}
+
+		private void die() {
+			this.dead = true;
+			SimulatedRun.this.callerListens = false;
+		}
+
+		private void handle(RoutingEvent event) {
+			if (!this.dead) {
+				this.router.handle(event, SimulatedRun.this.now).forEach(this::carryOut);
+			}
+		}
+
+		private void scheduleTick() {
+			this.router.nextWakeUpNanos().ifPresent((at) -> {
+				if (!this.dead && (SimulatedRun.this.agenda.isEmpty() || SimulatedRun.this.agenda.peek().at() > at)) {
+					in(Math.max(0, at - SimulatedRun.this.now), () -> handle(new RoutingEvent.Ticked()));
+				}
+			});
+		}
+
+		private void carryOut(RoutingDecision decision) {
+			switch (decision) {
+				case RoutingDecision.Claim claim -> claim(claim);
+				case RoutingDecision.Release release -> {
+					SimulatedRun.this.claims.release(release.request(), release.attempt()).join();
+					in(MILLI, () -> handle(new RoutingEvent.ReleaseSettled(release.exchange())));
+				}
+				case RoutingDecision.KeepAnswer keep -> {
+					SimulatedRun.this.claims.keepAnswer(keep.request(), keep.claimed(),
+							new KeptAnswer(keep.answered(), keep.target(), "", new byte[0], true));
+					in(MILLI, () -> handle(new RoutingEvent.KeepSettled(keep.exchange())));
+				}
+				case RoutingDecision.Dispatch dispatch -> new Carriage(this, dispatch).begin();
+				case RoutingDecision.Cancel cancel -> SimulatedRun.this.carriages.get(cancel.attempt()).cancel();
+				case RoutingDecision.Stream stream -> SimulatedRun.this.carriages.get(stream.attempt()).streamed = true;
+				case RoutingDecision.Tell tell -> tell(tell.outcome());
+				case RoutingDecision.Refuse refuse -> SimulatedRun.this.told.add("refused");
+				case RoutingDecision.DropConnections drop -> {
+				}
+				case RoutingDecision.Drained drained -> {
+				}
+			}
+		}
+
+		private void claim(RoutingDecision.Claim claim) {
+			ClaimResult result = SimulatedRun.this.claims.claim(claim.request(), claim.body(), claim.attempt()).join();
+			long delay = MILLI;
+			boolean doubled = false;
+			for (Fault fault : strike("accepted")) {
+				switch (fault) {
+					case SILENCE, LATE -> delay = DEADLINE + SLOW;
+					case SLOWNESS -> delay = SLOW;
+					case DOUBLED -> doubled = true;
+					case CROSSED ->
+						result = new ClaimResult.AlreadyRunning(new InstanceId("other"), new AttemptId("other"));
+					case RESET, GARBAGE, WRONG_LENGTH ->
+						result = new ClaimResult.Unknown(Outcomes.notDispatched("the claim broke"));
+					default -> {
+					}
+				}
+			}
+			ClaimResult settled = result;
+			Runnable settle = () -> {
+				strike("claimed");
+				handle(new RoutingEvent.ClaimSettled(claim.exchange(), settled));
+			};
+			in(delay, settle);
+			if (doubled) {
+				in(delay, settle);
+			}
+		}
+
+		private void tell(RequestOutcome<AnswerSource> outcome) {
+			if (!SimulatedRun.this.callerListens) {
+				return;
+			}
+			SimulatedRun.this.told.add(switch (outcome) {
+				case RequestOutcome.Answered<AnswerSource> answered -> "answered";
+				case RequestOutcome.NotRun<AnswerSource> notRun -> "not-run";
+				case RequestOutcome.Unknown<AnswerSource> unknown -> "unknown";
+			});
+			if (outcome instanceof RequestOutcome.Answered<AnswerSource>) {
+				strike("acknowledged");
+			}
+		}
+
+	}
+
+	private final class Carriage {
+
+		private static final List<String> STEPS = List.of("connecting", "head-sent", "body-half-sent", "sent",
+				"answer-head", "answer-half", "answer-done");
+
+		private static final int SENT = 3;
+
+		private static final int ANSWER_HALF = 5;
+
+		private static final int ANSWER_DONE = 6;
+
+		private final Instance owner;
+
+		private final RoutingDecision.Dispatch dispatch;
+
+		private AttemptResult spoilt;
+
+		private boolean silent;
+
+		private boolean doubled;
+
+		private boolean ended;
+
+		private boolean streamed;
+
+		private int reached;
+
+		private Carriage(Instance owner, RoutingDecision.Dispatch dispatch) {
+			this.owner = owner;
+			this.dispatch = dispatch;
+			SimulatedRun.this.carriages.put(dispatch.attempt(), this);
+		}
+
+		private void begin() {
+			// Without a claim the first two steps leave no trace of their own.
+			List.of("accepted", "claimed", "queued").forEach(SimulatedRun.this::strike);
+			step(0);
+		}
+
+		private void step(int index) {
+			boolean cutOff = this.owner.dead && index <= SENT;
+			if (this.ended || this.silent || cutOff) {
+				return;
+			}
+			this.reached = index;
+			String name = STEPS.get(index);
+			if (index > 0 && index < ANSWER_DONE) {
+				this.owner
+					.handle(new RoutingEvent.AttemptAdvanced(this.dispatch.attempt(), AttemptStep.values()[index - 1]));
+			}
+			if (index == SENT) {
+				SimulatedTargets targets = SimulatedRun.this.targets;
+				targets.run(new RequestId("r-1"), this.dispatch.attempt());
+			}
+			long delay = MILLI;
+			for (Fault fault : strike(name)) {
+				delay = Math.max(delay, hit(fault, index));
+			}
+			int next = (index == ANSWER_HALF - 1 && !SimulatedRun.this.large) ? ANSWER_DONE : index + 1;
+			if (index == ANSWER_DONE) {
+				end((this.spoilt != null) ? this.spoilt : new AttemptResult.Answered());
+			}
+			else if (index != ANSWER_HALF || this.streamed) {
+				in(delay, () -> step(next));
+			}
+		}
+
+		private long hit(Fault fault, int index) {
+			boolean done = index == ANSWER_DONE;
+			switch (fault) {
+				case TARGET_DEATH -> {
+					SimulatedRun.this.targets.die(this.dispatch.target().id());
+					breakOff(done, LossCause.RESET);
+				}
+				case RESET -> breakOff(done, LossCause.RESET);
+				case SILENCE -> this.silent = !done;
+				case GARBAGE -> spoil(done, LossCause.GARBAGE);
+				case WRONG_LENGTH -> spoil(done, LossCause.WRONG_LENGTH);
+				case CROSSED -> spoil(done, LossCause.FOREIGN);
+				case DOUBLED -> this.doubled = true;
+				case SLOWNESS -> {
+					return done ? 0 : SLOW;
+				}
+				case LATE -> {
+					return done ? 0 : DEADLINE + SLOW;
+				}
+				default -> {
+				}
+			}
+			return 0;
+		}
+
+		private void breakOff(boolean done, LossCause cause) {
+			if (!done) {
+				end((this.reached == 0) ? new AttemptResult.NotSent("the connection failed")
+						: new AttemptResult.Lost(cause));
+			}
+		}
+
+		private void spoil(boolean done, LossCause cause) {
+			this.spoilt = done ? this.spoilt : new AttemptResult.Lost(cause);
+		}
+
+		private void cancel() {
+			AttemptResult result = (this.reached == 0) ? new AttemptResult.NotSent("it was cancelled")
+					: new AttemptResult.Lost(LossCause.CANCELLED);
+			this.silent = true;
+			in(MILLI, () -> end(result));
+		}
+
+		private void end(AttemptResult result) {
+			if (this.ended) {
+				return;
+			}
+			this.ended = true;
+			this.owner.handle(new RoutingEvent.AttemptEnded(this.dispatch.attempt(), result));
+			if (this.doubled) {
+				this.owner.handle(new RoutingEvent.AttemptEnded(this.dispatch.attempt(), result));
+			}
+		}
+
+	}
+
+}
