Keep guarantees as regions and reclaim borrowed accelerators

Cause: a quota is not a shape; free accelerators can add up to a guarantee and still be scattered, and lent ones must come back on demand. Change: GuaranteeScheduler. GuaranteePacking binds each guaranteed gang to a region of its own, disjoint from all others, and repacks when the fleet or the declarations change; accounts that are short are reported. Work inside a region of its account is within the guarantee, all else borrows. Heads of the queue get reservations or have movable small jobs moved away. Run times are learned as quantiles; bad workers are quarantined.

--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/Claims.java
@@ -0,0 +1,153 @@
+package io.verbenatrack.scheduling.policy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.verbenatrack.model.GangShape;
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.scheduling.rules.Reclaim;
+import io.verbenatrack.scheduling.state.AcceleratorMask;
+import io.verbenatrack.scheduling.state.DecisionLog;
+import io.verbenatrack.scheduling.state.GangFit;
+import io.verbenatrack.scheduling.state.GangLease;
+import io.verbenatrack.scheduling.state.JobRecord;
+import io.verbenatrack.scheduling.state.SchedulingState;
+import io.verbenatrack.scheduling.state.WorkerRecord;
+
+/**
+ * The accelerators that are being cleared, and for whom. Lost with the leader: the next
+ * one finds the victims leaving and chooses them again, since they cost nothing more.
+ */
+final class Claims {
+
+	private static final Duration OPPORTUNISTIC_PATIENCE = Duration.ofSeconds(15);
+
+	private final SchedulingState state;
+
+	private final RoomIndex rooms;
+
+	private final TreeMap<Long, Claim> bySequence = new TreeMap<>();
+
+	Claims(SchedulingState state, RoomIndex rooms) {
+		this.state = state;
+		this.rooms = rooms;
+	}
+
+	boolean isClaiming(JobRecord job) {
+		return this.bySequence.containsKey(job.sequence());
+	}
+
+	int size() {
+		return this.bySequence.size();
+	}
+
+	boolean hasOpportunistic() {
+		return this.bySequence.values().stream().anyMatch((claim) -> !claim.bounded());
+	}
+
+	// Tells the victims to leave and keeps their accelerators for the job.
+	void begin(JobRecord job, Window window, boolean bounded, boolean withGrace, Instant now, DecisionLog log) {
+		this.bySequence.put(job.sequence(), new Claim(job, window, now, bounded));
+		setClaimed(window, true);
+		String reason = "Makes room for " + (bounded ? "the guarantee of " : "the large gang of ")
+				+ job.spec().account() + ", job " + job.id() + ".";
+		for (JobRecord victim : window.victims()) {
+			evict(victim, withGrace, reason, now, log);
+		}
+		log.add(new SchedulingDecision.ExplainWait(job.id(),
+				"Waits for " + window.victims().size() + " borrowing jobs to leave its accelerators."));
+	}
+
+	private void evict(JobRecord victim, boolean withGrace, String reason, Instant now, DecisionLog log) {
+		GangLease lease = victim.lease().orElseThrow();
+		if ("stopping".equals(victim.phase())) {
+			return;
+		}
+		boolean saves = withGrace && victim.spec().checkpointable();
+		if (saves && victim.running()) {
+			log.add(new SchedulingDecision.CheckpointGang(victim.id(), lease.token(),
+					this.state.declarations().defaults().checkpointGrace(), reason, now));
+		}
+		else if (!saves || !victim.leaving()) {
+			log.add(new SchedulingDecision.StopGang(victim.id(), lease.token(), reason, now));
+		}
+	}
+
+	private void setClaimed(Window window, boolean claimed) {
+		for (Slot slot : window.placement().slots()) {
+			WorkerRecord worker = this.state.fleet().worker(slot.worker()).orElseThrow();
+			long mask = this.rooms.claimed(worker.index());
+			long own = AcceleratorMask.of(slot);
+			this.rooms.setClaimed(worker, claimed ? mask | own : mask & ~own);
+		}
+	}
+
+	// Ends the claims whose job needs none any more or whose time is over.
+	Collection<Claim> expired(Instant now) {
+		List<Claim> expired = new ArrayList<>();
+		for (Claim claim : this.bySequence.values()) {
+			Duration patience = claim.bounded() ? Reclaim.PATIENCE : OPPORTUNISTIC_PATIENCE;
+			boolean late = Duration.between(claim.since(), now).compareTo(patience) >= 0;
+			if (late || !claim.job().waiting() || !workersUsable(claim)) {
+				expired.add(claim);
+			}
+		}
+		return expired;
+	}
+
+	private boolean workersUsable(Claim claim) {
+		return claim.window()
+			.placement()
+			.slots()
+			.stream()
+			.allMatch((slot) -> this.state.fleet().worker(slot.worker()).filter(WorkerRecord::usable).isPresent());
+	}
+
+	// Claims whose accelerators are free now.
+	Collection<Claim> clear() {
+		List<Claim> clear = new ArrayList<>();
+		for (Claim claim : this.bySequence.values()) {
+			if (claim.job().waiting() && isClear(claim)) {
+				clear.add(claim);
+			}
+		}
+		return clear;
+	}
+
+	private boolean isClear(Claim claim) {
+		GangShape shape = claim.job().spec().shape();
+		for (Slot slot : claim.window().placement().slots()) {
+			Optional<WorkerRecord> worker = this.state.fleet().worker(slot.worker()).filter(WorkerRecord::usable);
+			boolean free = worker.isPresent() && (AcceleratorMask.of(slot) & ~worker.get().freeMask()) == 0
+					&& GangFit.hasCoresAndMemory(worker.get(), shape, slot.accelerators());
+			if (!free || (GangFit.spansWorkers(shape) && !worker.get().empty())) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	void end(Claim claim) {
+		this.bySequence.remove(claim.job().sequence());
+		setClaimed(claim.window(), false);
+	}
+
+	/**
+	 * Accelerators that are being cleared for a job.
+	 *
+	 * @param job the job
+	 * @param window the accelerators and who leaves
+	 * @param since when clearing began
+	 * @param bounded whether the job has a guarantee to be placed in time
+	 */
+	record Claim(JobRecord job, Window window, Instant since, boolean bounded) {
+
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/GuaranteeScheduler.java
@@ -0,0 +1,114 @@
+package io.verbenatrack.scheduling.policy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import io.verbenatrack.scheduling.MemberReport;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.scheduling.SchedulingEvent;
+import io.verbenatrack.scheduling.lifecycle.ReplicatedScheduler;
+import io.verbenatrack.scheduling.rules.BadWorker;
+import io.verbenatrack.scheduling.state.DecisionLog;
+import io.verbenatrack.scheduling.state.JobRecord;
+import io.verbenatrack.scheduling.state.WorkerRecord;
+
+/**
+ * Keeps every guarantee claimable, lends what is not in use, and keeps room for large
+ * gangs.
+ */
+public final class GuaranteeScheduler extends ReplicatedScheduler {
+
+	/** Waiting jobs are looked at anew at least this often. */
+	private static final Duration FULL_PASS_INTERVAL = Duration.ofSeconds(10);
+
+	private final RegionKeeper regions;
+
+	private final PlacementPass pass;
+
+	private Instant lastFullPass = Instant.EPOCH;
+
+	private boolean roomChanged;
+
+	/**
+	 * Starts with no jobs and no workers.
+	 */
+	public GuaranteeScheduler() {
+		this(DEFAULT_REMEMBERED_JOBS);
+	}
+
+	/**
+	 * Starts with no jobs and no workers.
+	 * @param rememberedJobs ended jobs beyond that many are forgotten, oldest first
+	 */
+	public GuaranteeScheduler(int rememberedJobs) {
+		super(rememberedJobs);
+		this.regions = new RegionKeeper(state());
+		this.pass = new PlacementPass(state(), this.regions);
+	}
+
+	@Override
+	protected void follow(SchedulingEvent event, Instant now, DecisionLog log) {
+		if (event instanceof SchedulingEvent.MemberReported report && report.report() == MemberReport.FAILED) {
+			quarantine(report, now, log);
+		}
+		if (event instanceof SchedulingEvent.TimePassed) {
+			releaseQuarantined(now, log);
+		}
+		this.roomChanged |= freesRoom(log.decisions());
+		if (log.decisions().stream().anyMatch(GuaranteeScheduler::changesFleet)) {
+			this.regions.repack(log);
+			this.roomChanged = true;
+		}
+		boolean due = !now.isBefore(this.lastFullPass.plus(FULL_PASS_INTERVAL));
+		this.pass.begin(now, log);
+		if (this.roomChanged || due) {
+			this.pass.placeAll();
+			this.roomChanged = false;
+			this.lastFullPass = now;
+		}
+		else if (event instanceof SchedulingEvent.JobSubmitted submitted) {
+			state().jobs().job(submitted.job().id()).filter(JobRecord::waiting).ifPresent(this.pass::placeArrived);
+		}
+	}
+
+	private void quarantine(SchedulingEvent.MemberReported report, Instant now, DecisionLog log) {
+		Optional<WorkerRecord> worker = state().fleet().worker(report.worker());
+		if (worker.isPresent()
+				&& BadWorker.quarantines(worker.get(), state().fleet().workers(), state().declarations().defaults())) {
+			Instant until = now.plus(state().declarations().defaults().quarantineProbation());
+			log.add(new SchedulingDecision.QuarantineWorker(report.worker(), until));
+		}
+	}
+
+	private void releaseQuarantined(Instant now, DecisionLog log) {
+		for (WorkerRecord worker : state().fleet().workers()) {
+			if ("quarantined".equals(worker.phase()) && !now.isBefore(worker.quarantinedUntil())) {
+				log.add(new SchedulingDecision.ReleaseWorker(worker.id()));
+			}
+		}
+	}
+
+	private static boolean changesFleet(SchedulingDecision decision) {
+		return switch (decision) {
+			case SchedulingDecision.AdmitWorker admit -> true;
+			case SchedulingDecision.RemoveWorker remove -> true;
+			case SchedulingDecision.DrainWorker drain -> true;
+			case SchedulingDecision.QuarantineWorker bad -> true;
+			case SchedulingDecision.ReleaseWorker release -> true;
+			case SchedulingDecision.AdoptDeclarations adopt -> true;
+			default -> false;
+		};
+	}
+
+	private static boolean freesRoom(List<SchedulingDecision> decisions) {
+		for (SchedulingDecision decision : decisions) {
+			if (decision instanceof SchedulingDecision.RequeueJob || decision instanceof SchedulingDecision.EndJob) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/HeadWindow.java
@@ -0,0 +1,64 @@
+package io.verbenatrack.scheduling.policy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import io.verbenatrack.model.GangPlacement;
+import io.verbenatrack.scheduling.rules.Defragmentation;
+import io.verbenatrack.scheduling.rules.RunTimeEstimate;
+import io.verbenatrack.scheduling.state.JobRecord;
+import io.verbenatrack.scheduling.state.SchedulingState;
+
+/**
+ * Finds the accelerators that a large waiting gang can have soonest: jobs that may be
+ * moved count for little, the others for the run time they have left.
+ */
+final class HeadWindow {
+
+	/** Moving a job is worth this much waiting of the large gang, per accelerator. */
+	private static final double MOVE_PRICE_MS = 2_000;
+
+	private final SchedulingState state;
+
+	private final RoomIndex rooms;
+
+	private final JobRecord large;
+
+	private final Instant now;
+
+	HeadWindow(SchedulingState state, RoomIndex rooms, JobRecord large, Instant now) {
+		this.state = state;
+		this.rooms = rooms;
+		this.large = large;
+		this.now = now;
+	}
+
+	Optional<Window> find() {
+		return new WindowSearch(this.state, this.rooms, this.large, this::price, (worker) -> 0).anywhere();
+	}
+
+	private double price(JobRecord blocker) {
+		int accelerators = blocker.lease().map((lease) -> lease.placement()).map(GangPlacement::accelerators).orElse(0);
+		return mayMove(blocker) ? MOVE_PRICE_MS * accelerators : remaining(blocker).toMillis();
+	}
+
+	private boolean mayMove(JobRecord blocker) {
+		return Defragmentation.mayMove(this.state, blocker, this.large, this.now);
+	}
+
+	private Duration remaining(JobRecord blocker) {
+		return RunTimeEstimate.remaining(this.state.runTimes(), blocker, RunTimeEstimate.MEDIAN, this.now);
+	}
+
+	// How long the jobs that may not be moved are expected to stay.
+	Duration readyIn(Window window) {
+		Duration longest = Duration.ZERO;
+		for (JobRecord victim : window.victims()) {
+			Duration stays = mayMove(victim) ? Duration.ZERO : remaining(victim);
+			longest = (stays.compareTo(longest) > 0) ? stays : longest;
+		}
+		return longest;
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/PlaceSearch.java
@@ -0,0 +1,234 @@
+package io.verbenatrack.scheduling.policy;
+
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.IntPredicate;
+
+import io.verbenatrack.model.GangPlacement;
+import io.verbenatrack.model.GangShape;
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.scheduling.JobSnapshot;
+import io.verbenatrack.scheduling.state.AcceleratorMask;
+import io.verbenatrack.scheduling.state.GangFit;
+import io.verbenatrack.scheduling.state.JobRecord;
+import io.verbenatrack.scheduling.state.RackRecord;
+import io.verbenatrack.scheduling.state.RegionKey;
+import io.verbenatrack.scheduling.state.SchedulingState;
+import io.verbenatrack.scheduling.state.WorkerRecord;
+
+/**
+ * Finds free adjacent accelerators: the tightest place, beside jobs that move as easily.
+ */
+final class PlaceSearch {
+
+	/** Enough to find a good neighbour without looking at a whole large fleet. */
+	private static final int MAXIMUM_CANDIDATES = 24;
+
+	/** With failures on more workers than this, a job may return to one of them. */
+	private static final int MAXIMUM_AVOIDED = 3;
+
+	private final SchedulingState state;
+
+	private final RoomIndex rooms;
+
+	private final Reservations reservations;
+
+	PlaceSearch(SchedulingState state, RoomIndex rooms, Reservations reservations) {
+		this.state = state;
+		this.rooms = rooms;
+		this.reservations = reservations;
+	}
+
+	// A free place within a region of the job's account.
+	Optional<GangPlacement> withinGuarantee(JobRecord job) {
+		GangPlacement best = null;
+		int bestLeft = Integer.MAX_VALUE;
+		for (GangPlacement region : this.state.regions().of(job.spec().account()).values()) {
+			if (region.accelerators() < job.spec().shape().accelerators()) {
+				continue;
+			}
+			Optional<GangPlacement> found = inRegion(job, region);
+			int left = found.map((placement) -> freeIn(region)).orElse(Integer.MAX_VALUE);
+			if (left < bestLeft) {
+				best = found.get();
+				bestLeft = left;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	private int freeIn(GangPlacement region) {
+		int free = 0;
+		for (Slot slot : region.slots()) {
+			free += Long.bitCount(AcceleratorMask.of(slot) & this.rooms.free().mask(worker(slot)));
+		}
+		return free;
+	}
+
+	private Optional<GangPlacement> inRegion(JobRecord job, GangPlacement region) {
+		List<WorkerRecord> workers = region.slots().stream().map(this::worker).toList();
+		if (GangFit.spansWorkers(job.spec().shape())) {
+			return firstRun(job, workers, this.rooms.free(), (index) -> true);
+		}
+		Slot best = null;
+		int bestLeft = Integer.MAX_VALUE;
+		for (int index = 0; index < workers.size(); index++) {
+			WorkerRecord worker = workers.get(index);
+			long mask = this.rooms.free().mask(worker) & AcceleratorMask.of(region.slots().get(index));
+			int start = AcceleratorMask.bestStart(mask, job.spec().shape().accelerators());
+			if (start >= 0 && Long.bitCount(mask) < bestLeft && fits(worker, job.spec().shape())) {
+				best = new Slot(worker.id(), start, job.spec().shape().accelerators());
+				bestLeft = Long.bitCount(mask);
+			}
+		}
+		return Optional.ofNullable(best).map((slot) -> new GangPlacement(List.of(slot)));
+	}
+
+	private WorkerRecord worker(Slot slot) {
+		return this.state.fleet().worker(slot.worker()).orElseThrow();
+	}
+
+	private static boolean fits(WorkerRecord worker, GangShape shape) {
+		return GangFit.hasCoresAndMemory(worker, shape, shape.accelerators());
+	}
+
+	// A free place outside all regions, or else in those of others.
+	Optional<GangPlacement> borrowed(JobRecord job) {
+		Optional<GangPlacement> outside = in(job, this.rooms.open());
+		return outside.isPresent() ? outside : in(job, this.rooms.free());
+	}
+
+	private Optional<GangPlacement> in(JobRecord job, RoomIndex.Room room) {
+		return GangFit.spansWorkers(job.spec().shape()) ? wholeWorkers(job, room) : oneWorker(job, room);
+	}
+
+	private Optional<GangPlacement> oneWorker(JobRecord job, RoomIndex.Room room) {
+		GangShape shape = job.spec().shape();
+		Set<WorkerId> avoided = avoided(job);
+		for (int run = shape.accelerators(); run <= AcceleratorMask.MAXIMUM_ACCELERATORS; run++) {
+			Optional<WorkerRecord> worker = bestWithRun(job, room, room.withLongestRun(run), avoided);
+			if (worker.isPresent()) {
+				int start = AcceleratorMask.bestStart(room.mask(worker.get()), shape.accelerators());
+				return Optional
+					.of(new GangPlacement(List.of(new Slot(worker.get().id(), start, shape.accelerators()))));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private Optional<WorkerRecord> bestWithRun(JobRecord job, RoomIndex.Room room, BitSet workers,
+			Set<WorkerId> avoided) {
+		WorkerRecord best = null;
+		int bestScore = Integer.MAX_VALUE;
+		int seen = 0;
+		for (int index = workers.nextSetBit(0); index >= 0
+				&& seen < MAXIMUM_CANDIDATES; index = workers.nextSetBit(index + 1)) {
+			WorkerRecord worker = this.rooms.fleet().workerAt(index);
+			if (!fits(worker, job.spec().shape()) || avoided.contains(worker.id())
+					|| !this.reservations.allows(worker, job)) {
+				continue;
+			}
+			seen++;
+			int score = score(job, room, worker);
+			if (score < bestScore) {
+				best = worker;
+				bestScore = score;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	// Keeps long free runs in a rack whole, and jobs that cannot move together.
+	private int score(JobRecord job, RoomIndex.Room room, WorkerRecord worker) {
+		RackRecord rack = this.rooms.fleet().rackOf(worker);
+		int score = room.isWhole(worker) ? room.longestWholeRun(rack) * 16 : 0;
+		for (JobRecord neighbour : worker.jobs()) {
+			boolean alike = neighbour.spec().checkpointable() == job.spec().checkpointable();
+			score += alike ? 0 : 1;
+		}
+		return score;
+	}
+
+	private static Set<WorkerId> avoided(JobRecord job) {
+		if (job.failures().isEmpty()) {
+			return Set.of();
+		}
+		Set<WorkerId> workers = new HashSet<>();
+		for (JobSnapshot.Failure failure : job.failures()) {
+			workers.add(failure.worker());
+		}
+		return (workers.size() <= MAXIMUM_AVOIDED) ? workers : Set.of();
+	}
+
+	private Optional<GangPlacement> wholeWorkers(JobRecord job, RoomIndex.Room room) {
+		RackRecord best = null;
+		int bestRun = Integer.MAX_VALUE;
+		for (RackRecord rack : this.rooms.fleet().racks()) {
+			int run = room.longestWholeRun(rack);
+			boolean mayFit = run * AcceleratorMask.MAXIMUM_ACCELERATORS >= job.spec().shape().accelerators();
+			if (mayFit && run < bestRun && firstRun(job, rack.workers(), room, rack::adjacentToPrevious).isPresent()) {
+				best = rack;
+				bestRun = run;
+			}
+		}
+		if (best == null) {
+			return Optional.empty();
+		}
+		return firstRun(job, best.workers(), room, best::adjacentToPrevious);
+	}
+
+	private Optional<GangPlacement> firstRun(JobRecord job, List<WorkerRecord> workers, RoomIndex.Room room,
+			IntPredicate adjacent) {
+		GangShape shape = job.spec().shape();
+		Set<WorkerId> avoided = avoided(job);
+		int first = 0;
+		int covered = 0;
+		for (int index = 0; index < workers.size(); index++) {
+			WorkerRecord worker = workers.get(index);
+			boolean takes = room.isWhole(worker) && GangFit.wholeWorker(worker, shape) > 0
+					&& !avoided.contains(worker.id()) && this.reservations.allows(worker, job);
+			if (!takes) {
+				covered = 0;
+				continue;
+			}
+			if (covered == 0 || !adjacent.test(index)) {
+				first = index;
+				covered = 0;
+			}
+			covered += worker.spec().accelerators();
+			if (covered >= shape.accelerators()) {
+				return Optional.of(GangFit.over(workers.subList(first, index + 1), shape));
+			}
+		}
+		return Optional.empty();
+	}
+
+	// A region of the account that holds none of its work, if it could hold the job.
+	Optional<RegionKey> idleRegion(JobRecord job) {
+		for (Map.Entry<RegionKey, GangPlacement> entry : this.state.regions().of(job.spec().account()).entrySet()) {
+			boolean large = entry.getValue().accelerators() >= job.spec().shape().accelerators();
+			if (large && !usedByAccount(job, entry.getValue())) {
+				return Optional.of(entry.getKey());
+			}
+		}
+		return Optional.empty();
+	}
+
+	private boolean usedByAccount(JobRecord job, GangPlacement region) {
+		for (Slot slot : region.slots()) {
+			for (JobRecord each : worker(slot).jobs()) {
+				boolean own = each.spec().account().equals(job.spec().account());
+				if (own && WindowSearch.overlaps(each.lease().orElseThrow(), region)) {
+					return true;
+				}
+			}
+		}
+		return false;
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/RegionKeeper.java
@@ -0,0 +1,181 @@
+package io.verbenatrack.scheduling.policy;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.GangPlacement;
+import io.verbenatrack.model.GangShape;
+import io.verbenatrack.model.Guarantee;
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.scheduling.rules.GuaranteePacking;
+import io.verbenatrack.scheduling.state.AcceleratorMask;
+import io.verbenatrack.scheduling.state.DecisionLog;
+import io.verbenatrack.scheduling.state.GangFit;
+import io.verbenatrack.scheduling.state.GuaranteeRegions;
+import io.verbenatrack.scheduling.state.RackRecord;
+import io.verbenatrack.scheduling.state.RegionKey;
+import io.verbenatrack.scheduling.state.SchedulingState;
+import io.verbenatrack.scheduling.state.WorkerRecord;
+
+/**
+ * Keeps a region for each guaranteed gang while workers and declarations change.
+ */
+final class RegionKeeper {
+
+	private static final GangPlacement NONE = new GangPlacement(List.of());
+
+	private final SchedulingState state;
+
+	RegionKeeper(SchedulingState state) {
+		this.state = state;
+	}
+
+	// Packs all guarantees again and tells which account is short of what.
+	void repack(DecisionLog log) {
+		GuaranteePacking.Packing packing = GuaranteePacking.pack(this.state);
+		List<RegionKey> before = List.copyOf(this.state.regions().keys());
+		for (RegionKey key : before) {
+			GangPlacement region = packing.regions().get(key);
+			if (!this.state.regions().region(key).orElseThrow().equals(region)) {
+				bind(key, NONE, log);
+			}
+		}
+		packing.regions().forEach((key, region) -> {
+			if (this.state.regions().region(key).isEmpty()) {
+				bind(key, region, log);
+			}
+		});
+		reportShort(packing, log);
+	}
+
+	private void bind(RegionKey key, GangPlacement region, DecisionLog log) {
+		log.add(new SchedulingDecision.BindGuarantee(key.account(), key.guarantee(), key.gang(), region));
+	}
+
+	private void reportShort(GuaranteePacking.Packing packing, DecisionLog log) {
+		Map<AccountId, Map<GangShape, Integer>> counts = new TreeMap<>();
+		for (RegionKey key : packing.missing()) {
+			counts.computeIfAbsent(key.account(), (account) -> new TreeMap<>(RegionKeeper::compare))
+				.merge(packing.shapes().get(key), 1, Integer::sum);
+		}
+		Set<AccountId> accounts = new HashSet<>(this.state.shortGuarantees().keySet());
+		accounts.addAll(counts.keySet());
+		for (AccountId account : accounts.stream().sorted().toList()) {
+			List<Guarantee> missing = new ArrayList<>();
+			counts.getOrDefault(account, Map.of()).forEach((shape, count) -> missing.add(new Guarantee(shape, count)));
+			if (!missing.equals(this.state.shortGuarantees(account).orElse(List.of()))) {
+				log.add(new SchedulingDecision.ReportShortGuarantee(account, missing));
+			}
+		}
+	}
+
+	private static int compare(GangShape first, GangShape second) {
+		int order = Integer.compare(second.accelerators(), first.accelerators());
+		return (order != 0) ? order : first.toString().compareTo(second.toString());
+	}
+
+	/**
+	 * Moves an idle region so that it covers accelerators that its account uses or is to
+	 * use, which are then within the guarantee. Only accelerators outside all other
+	 * regions are taken.
+	 * @param idle a region without work of its account
+	 * @param work the accelerators to cover
+	 * @param log takes the decision
+	 * @return whether the region covers them now
+	 */
+	boolean move(RegionKey idle, GangPlacement work, DecisionLog log) {
+		Optional<GangPlacement> place = GangFit.spansWorkers(shape(idle)) ? runCovering(idle, work)
+				: slotCovering(idle, work);
+		place.ifPresent((region) -> bind(idle, region, log));
+		return place.isPresent();
+	}
+
+	// The accelerators of a worker that an idle region must not move to.
+	long closedTo(RegionKey idle, WorkerRecord worker) {
+		if (GangFit.spansWorkers(shape(idle)) && !mayBeWhole(idle, worker)) {
+			return -1L;
+		}
+		long closed = 0;
+		for (Map.Entry<RegionKey, Slot> entry : this.state.regions().on(worker.id()).entrySet()) {
+			closed |= entry.getKey().equals(idle) ? 0 : AcceleratorMask.of(entry.getValue());
+		}
+		return closed;
+	}
+
+	private boolean mayBeWhole(RegionKey idle, WorkerRecord worker) {
+		Set<RegionKey> regionsThere = this.state.regions().on(worker.id()).keySet();
+		boolean others = regionsThere.stream().anyMatch((key) -> !key.equals(idle));
+		return worker.usable() && !others && GangFit.wholeWorker(worker, shape(idle)) > 0;
+	}
+
+	private Optional<GangPlacement> runCovering(RegionKey idle, GangPlacement work) {
+		WorkerRecord first = this.state.fleet().worker(work.slots().getFirst().worker()).orElseThrow();
+		RackRecord rack = this.state.fleet().rackOf(first);
+		List<WorkerRecord> workers = rack.workers();
+		for (int start = 0; start < workers.size(); start++) {
+			int covered = 0;
+			int end = start;
+			while (end < workers.size() && covered < shape(idle).accelerators() && mayBeWhole(idle, workers.get(end))
+					&& (end == start || rack.adjacentToPrevious(end))) {
+				covered += workers.get(end).spec().accelerators();
+				end++;
+			}
+			if (covered >= shape(idle).accelerators()) {
+				GangPlacement region = GangFit.over(workers.subList(start, end), shape(idle));
+				if (GuaranteeRegions.contains(region, work)) {
+					return Optional.of(region);
+				}
+			}
+		}
+		return Optional.empty();
+	}
+
+	private Optional<GangPlacement> slotCovering(RegionKey idle, GangPlacement work) {
+		Slot slot = work.slots().getFirst();
+		WorkerRecord worker = this.state.fleet().worker(slot.worker()).orElseThrow();
+		if (work.slots().size() != 1 || !worker.usable() || !hasCoresAndMemory(worker, idle)) {
+			return Optional.empty();
+		}
+		long open = AcceleratorMask.first(worker.spec().accelerators()) & ~closedTo(idle, worker);
+		int length = shape(idle).accelerators();
+		return covering(open, length, slot)
+			.map((start) -> new GangPlacement(List.of(new Slot(worker.id(), start, length))));
+	}
+
+	private boolean hasCoresAndMemory(WorkerRecord worker, RegionKey idle) {
+		int cores = worker.spec().cores();
+		int memoryGib = worker.spec().memoryGib();
+		for (Map.Entry<RegionKey, Slot> entry : this.state.regions().on(worker.id()).entrySet()) {
+			if (!entry.getKey().equals(idle)) {
+				cores -= entry.getValue().accelerators() * shape(entry.getKey()).coresPerAccelerator();
+				memoryGib -= entry.getValue().accelerators() * shape(entry.getKey()).memoryGibPerAccelerator();
+			}
+		}
+		return cores >= shape(idle).cores() && memoryGib >= shape(idle).memoryGib();
+	}
+
+	private GangShape shape(RegionKey key) {
+		return this.state.declarations().account(key.account()).orElseThrow().guarantees().get(key.guarantee()).shape();
+	}
+
+	private static Optional<Integer> covering(long open, int length, Slot work) {
+		long starts = AcceleratorMask.runStarts(open, length);
+		while (starts != 0) {
+			int start = Long.numberOfTrailingZeros(starts);
+			long window = AcceleratorMask.first(length) << start;
+			if ((AcceleratorMask.of(work) & ~window) == 0) {
+				return Optional.of(start);
+			}
+			starts &= starts - 1;
+		}
+		return Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/RoomIndex.java
@@ -0,0 +1,131 @@
+package io.verbenatrack.scheduling.policy;
+
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Map;
+
+import io.verbenatrack.model.RackId;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.scheduling.state.AcceleratorMask;
+import io.verbenatrack.scheduling.state.FleetState;
+import io.verbenatrack.scheduling.state.RackRecord;
+import io.verbenatrack.scheduling.state.SchedulingState;
+import io.verbenatrack.scheduling.state.WorkerRecord;
+
+/**
+ * Indexes the free accelerators of usable workers by their longest adjacent run, so that
+ * a search need not look at every worker.
+ */
+final class RoomIndex {
+
+	private final SchedulingState state;
+
+	private final Room free = new Room();
+
+	private final Room open = new Room();
+
+	private long[] claimed = new long[0];
+
+	RoomIndex(SchedulingState state) {
+		this.state = state;
+		state.fleet().addListener(this::refresh);
+		state.regions().addListener(this::refresh);
+	}
+
+	// Free accelerators, in regions or not.
+	Room free() {
+		return this.free;
+	}
+
+	// Free accelerators outside all regions.
+	Room open() {
+		return this.open;
+	}
+
+	FleetState fleet() {
+		return this.state.fleet();
+	}
+
+	// Accelerators that a pending claim keeps from others.
+	long claimed(int worker) {
+		return (worker < this.claimed.length) ? this.claimed[worker] : 0;
+	}
+
+	void setClaimed(WorkerRecord worker, long mask) {
+		if (worker.index() >= this.claimed.length) {
+			this.claimed = Arrays.copyOf(this.claimed, (worker.index() + 1) * 2);
+		}
+		this.claimed[worker.index()] = mask;
+		refresh(worker);
+	}
+
+	private void refresh(WorkerId worker) {
+		refresh(this.state.fleet().worker(worker).orElseThrow());
+	}
+
+	private void refresh(WorkerRecord worker) {
+		long mask = worker.usable() ? worker.freeMask() & ~claimed(worker.index()) : 0;
+		this.free.update(worker, mask);
+		this.open.update(worker, mask & ~this.state.regions().mask(worker.id()));
+	}
+
+	/**
+	 * One set of accelerators over the whole fleet.
+	 */
+	final class Room {
+
+		private final BitSet[] byLongestRun = new BitSet[AcceleratorMask.MAXIMUM_ACCELERATORS + 1];
+
+		private final Map<RackId, Integer> wholeRuns = new HashMap<>();
+
+		private long[] masks = new long[0];
+
+		Room() {
+			Arrays.setAll(this.byLongestRun, (run) -> new BitSet());
+		}
+
+		private void update(WorkerRecord worker, long mask) {
+			if (worker.index() >= this.masks.length) {
+				this.masks = Arrays.copyOf(this.masks, (worker.index() + 1) * 2);
+			}
+			this.byLongestRun[AcceleratorMask.longestRun(this.masks[worker.index()])].clear(worker.index());
+			this.masks[worker.index()] = mask;
+			this.byLongestRun[AcceleratorMask.longestRun(mask)].set(worker.index());
+			this.wholeRuns.remove(worker.spec().rack());
+		}
+
+		long mask(WorkerRecord worker) {
+			return this.masks[worker.index()];
+		}
+
+		// The workers whose longest run has a length.
+		BitSet withLongestRun(int length) {
+			return this.byLongestRun[length];
+		}
+
+		// Whether all accelerators of a worker are in this room.
+		boolean isWhole(WorkerRecord worker) {
+			long all = AcceleratorMask.first(worker.spec().accelerators());
+			return worker.empty() && all != 0 && mask(worker) == all;
+		}
+
+		// The most neighbouring whole workers of a rack.
+		int longestWholeRun(RackRecord rack) {
+			return this.wholeRuns.computeIfAbsent(rack.id(), (id) -> countWholeRun(rack));
+		}
+
+		private int countWholeRun(RackRecord rack) {
+			int longest = 0;
+			int run = 0;
+			for (int place = 0; place < rack.workers().size(); place++) {
+				boolean continues = place == 0 || rack.adjacentToPrevious(place);
+				run = isWhole(rack.workers().get(place)) ? (continues ? run : 0) + 1 : 0;
+				longest = Math.max(longest, run);
+			}
+			return longest;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The policy that keeps guarantees and does not starve large gangs.
+ */
+package io.verbenatrack.scheduling.policy;
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/PackingRoom.java
@@ -0,0 +1,170 @@
+package io.verbenatrack.scheduling.rules;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.verbenatrack.model.GangPlacement;
+import io.verbenatrack.model.GangShape;
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.scheduling.state.AcceleratorMask;
+import io.verbenatrack.scheduling.state.FleetState;
+import io.verbenatrack.scheduling.state.GangFit;
+import io.verbenatrack.scheduling.state.RackRecord;
+import io.verbenatrack.scheduling.state.WorkerRecord;
+
+/**
+ * What the regions bound so far leave of each worker.
+ */
+final class PackingRoom {
+
+	private final FleetState fleet;
+
+	private final long[] masks;
+
+	private final int[] cores;
+
+	private final int[] memoryGib;
+
+	PackingRoom(FleetState fleet) {
+		this.fleet = fleet;
+		int workers = fleet.workers().size();
+		this.masks = new long[workers];
+		this.cores = new int[workers];
+		this.memoryGib = new int[workers];
+		for (WorkerRecord worker : fleet.workers()) {
+			boolean usable = worker.usable();
+			this.masks[worker.index()] = usable ? AcceleratorMask.first(worker.spec().accelerators()) : 0;
+			this.cores[worker.index()] = worker.spec().cores();
+			this.memoryGib[worker.index()] = worker.spec().memoryGib();
+		}
+	}
+
+	int freeAccelerators() {
+		int free = 0;
+		for (long mask : this.masks) {
+			free += Long.bitCount(mask);
+		}
+		return free;
+	}
+
+	// Takes a region; false, with nothing taken, when part of it is not there.
+	boolean take(GangPlacement region, GangShape shape) {
+		for (Slot slot : region.slots()) {
+			WorkerRecord worker = worker(slot);
+			boolean there = (AcceleratorMask.of(slot) & ~this.masks[worker.index()]) == 0;
+			if (!there || !hasCoresAndMemory(worker.index(), shape, slot.accelerators())) {
+				return false;
+			}
+		}
+		for (Slot slot : region.slots()) {
+			change(slot, shape, -1);
+		}
+		return true;
+	}
+
+	void release(GangPlacement region, GangShape shape) {
+		for (Slot slot : region.slots()) {
+			change(slot, shape, 1);
+		}
+	}
+
+	private void change(Slot slot, GangShape shape, int sign) {
+		int index = worker(slot).index();
+		this.masks[index] ^= AcceleratorMask.of(slot);
+		this.cores[index] += sign * slot.accelerators() * shape.coresPerAccelerator();
+		this.memoryGib[index] += sign * slot.accelerators() * shape.memoryGibPerAccelerator();
+	}
+
+	private WorkerRecord worker(Slot slot) {
+		return this.fleet.worker(slot.worker()).orElseThrow();
+	}
+
+	private boolean hasCoresAndMemory(int index, GangShape shape, int accelerators) {
+		return this.cores[index] >= accelerators * shape.coresPerAccelerator()
+				&& this.memoryGib[index] >= accelerators * shape.memoryGibPerAccelerator();
+	}
+
+	// The places of a gang, the tightest first; of equal places one stands for all.
+	List<GangPlacement> candidates(GangShape shape) {
+		List<Candidate> candidates = new ArrayList<>();
+		if (GangFit.spansWorkers(shape)) {
+			this.fleet.racks().forEach((rack) -> addRuns(rack, shape, candidates));
+		}
+		else {
+			addSlots(shape, candidates);
+		}
+		candidates.sort(Comparator.comparingInt(Candidate::left));
+		return candidates.stream().map(Candidate::placement).toList();
+	}
+
+	private void addSlots(GangShape shape, List<Candidate> candidates) {
+		Set<Left> seen = new HashSet<>();
+		for (WorkerRecord worker : this.fleet.workers()) {
+			int index = worker.index();
+			Left left = new Left(this.masks[index], this.cores[index], this.memoryGib[index]);
+			if (!hasCoresAndMemory(index, shape, shape.accelerators()) || !seen.add(left)) {
+				continue;
+			}
+			int start = AcceleratorMask.bestStart(this.masks[index], shape.accelerators());
+			if (start >= 0) {
+				Slot slot = new Slot(worker.id(), start, shape.accelerators());
+				int longest = AcceleratorMask.longestRun(this.masks[index]);
+				candidates.add(new Candidate(new GangPlacement(List.of(slot)), longest));
+			}
+		}
+	}
+
+	private void addRuns(RackRecord rack, GangShape shape, List<Candidate> candidates) {
+		List<WorkerRecord> workers = rack.workers();
+		for (int first = 0; first < workers.size(); first++) {
+			int run = wholeRun(rack, first, shape);
+			boolean startsRun = first == 0 || !rack.adjacentToPrevious(first)
+					|| !isWhole(workers.get(first - 1), shape);
+			int needed = workersNeeded(workers, first, run, shape);
+			if (needed > 0) {
+				GangPlacement placement = GangFit.over(workers.subList(first, first + needed), shape);
+				candidates.add(new Candidate(placement, startsRun ? run : run + workers.size()));
+			}
+		}
+	}
+
+	private int wholeRun(RackRecord rack, int first, GangShape shape) {
+		int end = first;
+		while (end < rack.workers().size() && isWhole(rack.workers().get(end), shape)
+				&& (end == first || rack.adjacentToPrevious(end))) {
+			end++;
+		}
+		return end - first;
+	}
+
+	private boolean isWhole(WorkerRecord worker, GangShape shape) {
+		long all = AcceleratorMask.first(worker.spec().accelerators());
+		return all != 0 && this.masks[worker.index()] == all
+				&& hasCoresAndMemory(worker.index(), shape, worker.spec().accelerators());
+	}
+
+	private static int workersNeeded(List<WorkerRecord> workers, int first, int run, GangShape shape) {
+		int covered = 0;
+		for (int count = 1; count <= run; count++) {
+			covered += workers.get(first + count - 1).spec().accelerators();
+			if (covered >= shape.accelerators()) {
+				return count;
+			}
+		}
+		return 0;
+	}
+
+	// Makes workers that are alike equal.
+	private record Left(long mask, int cores, int memoryGib) {
+
+	}
+
+	// A place and how much room it would break; less is better.
+	private record Candidate(GangPlacement placement, int left) {
+
+	}
+
+}
--- /dev/null
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/RunTimeEstimate.java
@@ -0,0 +1,73 @@
+package io.verbenatrack.scheduling.rules;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import io.verbenatrack.scheduling.state.GangLease;
+import io.verbenatrack.scheduling.state.JobRecord;
+import io.verbenatrack.scheduling.state.RunTimeSamples;
+
+/**
+ * Estimates run times by quantiles of what jobs of the same account and class took.
+ */
+public final class RunTimeEstimate {
+
+	/** Used to order jobs. */
+	public static final double MEDIAN = 0.5;
+
+	/** Used where an underestimate would delay another job. */
+	public static final double CAUTIOUS = 0.9;
+
+	/** With fewer samples the declared run time is taken. */
+	static final int MINIMUM_SAMPLES = 5;
+
+	/**
+	 * A job that outlives its estimate is expected to go on for this share of its age.
+	 */
+	private static final double OVERRUN_SHARE = 0.25;
+
+	private static final long MINIMUM_MS = 1_000;
+
+	private RunTimeEstimate() {
+	}
+
+	/**
+	 * Estimates the whole run time of a job.
+	 * @param samples what is known of its class
+	 * @param job the job
+	 * @param quantile the share of similar jobs that take no longer, from 0 to 1
+	 * @return the run time
+	 */
+	public static Duration total(RunTimeSamples samples, JobRecord job, double quantile) {
+		List<Double> ratios = samples.of(job.spec().account(), job.spec().jobClass());
+		double ratio = (ratios.size() >= MINIMUM_SAMPLES) ? quantile(ratios, quantile) : 1;
+		double millis = job.spec().declaredRunTime().toMillis() * ratio;
+		return Duration.ofMillis(Math.max(MINIMUM_MS, (long) millis));
+	}
+
+	private static double quantile(List<Double> ratios, double quantile) {
+		List<Double> sorted = ratios.stream().sorted().toList();
+		int rank = (int) Math.ceil(quantile * sorted.size()) - 1;
+		return sorted.get(Math.max(0, rank));
+	}
+
+	/**
+	 * Estimates how much longer a job runs.
+	 * @param samples what is known of its class
+	 * @param job the job
+	 * @param quantile the share of similar jobs that take no longer, from 0 to 1
+	 * @param now the time
+	 * @return the run time left
+	 */
+	public static Duration remaining(RunTimeSamples samples, JobRecord job, double quantile, Instant now) {
+		Optional<Instant> startedAt = job.lease().flatMap(GangLease::startedAt);
+		Duration done = startedAt.map((start) -> job.keptBefore().plus(Duration.between(start, now)))
+			.orElse(job.kept());
+		Duration left = total(samples, job, quantile).minus(done);
+		long overrun = (long) (done.toMillis() * OVERRUN_SHARE);
+		return Duration.ofMillis(Math.max(Math.max(MINIMUM_MS, overrun), left.toMillis()));
+	}
+
+}
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/GuaranteeRegions.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/GuaranteeRegions.java
@@ -131,7 +131,13 @@
 		return Optional.empty();
 	}
 
-	private static boolean contains(GangPlacement region, GangPlacement placement) {
+	/**
+	 * Whether a region holds a whole placement.
+	 * @param region the region
+	 * @param placement the accelerators
+	 * @return whether all of them lie in the region
+	 */
+	public static boolean contains(GangPlacement region, GangPlacement placement) {
 		for (Slot slot : placement.slots()) {
 			if (region.slots().stream().noneMatch((part) -> contains(part, slot))) {
 				return false;
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/JobTable.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/JobTable.java
@@ -1,6 +1,7 @@
 package io.verbenatrack.scheduling.state;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
@@ -35,8 +36,18 @@
 
 	private final NavigableSet<JobRecord> ended = new TreeSet<>(OLDEST_OUTCOME_FIRST);
 
+	private final List<JobListener> listeners = new ArrayList<>();
+
 	private long sequence;
 
+	/**
+	 * Calls a listener after each change from now on.
+	 * @param listener the listener
+	 */
+	public void addListener(JobListener listener) {
+		this.listeners.add(listener);
+	}
+
 	JobRecord accept(JobSpec spec, Instant at) {
 		this.sequence++;
 		JobRecord job = new JobRecord(spec, at, this.sequence);
@@ -49,6 +60,7 @@
 		setPresent(this.waiting, job, job.waiting());
 		setPresent(this.holding, job, job.lease().isPresent());
 		setPresent(this.inTransition, job, job.lease().isPresent() && !job.running());
+		this.listeners.forEach((listener) -> listener.jobChanged(job));
 	}
 
 	private static void setPresent(Map<Long, JobRecord> jobs, JobRecord job, boolean present) {
