--- a/routing/src/main/java/io/verbenatrack/routing/Attempt.java
+++ b/routing/src/main/java/io/verbenatrack/routing/Attempt.java
@@ -22,6 +22,10 @@
 
 	private String state = CHART.initialState();
 
+	private boolean replied;
+
+	private boolean overdue;
+
 	Attempt(AttemptId id, Exchange exchange, TargetState target, long beganNanos) {
 		this.id = id;
 		this.exchange = exchange;
@@ -50,9 +54,22 @@
 	}
 
 	boolean advance(AttemptStep step) {
+		this.replied = this.replied || step == AttemptStep.ANSWER_HEAD;
 		return move(step.event());
 	}
 
+	boolean isReplied() {
+		return this.replied;
+	}
+
+	boolean isOverdue() {
+		return this.overdue;
+	}
+
+	void markOverdue(boolean passed) {
+		this.overdue = passed;
+	}
+
 	/**
 	 * Ends the dispatch. A result that its steps do not allow counts as lost.
 	 * @param result what the carriage reports
--- a/routing/src/main/java/io/verbenatrack/routing/AttemptFlow.java
+++ b/routing/src/main/java/io/verbenatrack/routing/AttemptFlow.java
@@ -121,7 +121,7 @@
 	}
 
 	void ended(Attempt attempt, AttemptResult reported) {
-		AttemptResult result = attempt.end(reported);
+		AttemptResult result = attempt.end(silentWhenOverdue(attempt, reported));
 		Exchange exchange = attempt.exchange();
 		this.context.attempts().remove(attempt.id());
 		exchange.open().remove(attempt.id());
@@ -136,6 +136,16 @@
 		this.settlement.forgetIfOver(exchange);
 	}
 
+	// A reply that did not come within twice the usual time is missing, not merely
+	// awaited.
+	private AttemptResult silentWhenOverdue(Attempt attempt, AttemptResult reported) {
+		long waited = this.context.now() - attempt.beganNanos();
+		long usual = this.context.queue(attempt.exchange()).times().meanNanos();
+		boolean cancelled = reported instanceof AttemptResult.Lost lost && lost.cause() == LossCause.CANCELLED;
+		boolean silent = cancelled && attempt.isOverdue() && !attempt.isReplied() && waited > 2 * usual;
+		return silent ? new AttemptResult.Lost(LossCause.SILENT) : reported;
+	}
+
 	private void record(Attempt attempt, AttemptResult result) {
 		TargetState target = attempt.target();
 		long now = this.context.now();
@@ -154,7 +164,7 @@
 					target.ended(attempt.id(), now);
 				}
 				if (lost.cause() == LossCause.SILENT) {
-					this.context.decide(new RoutingDecision.DropConnections(target.spec().id()));
+					this.context.decide(new RoutingDecision.DropConnections(target.spec().id(), target.spec().url()));
 				}
 			}
 		}
@@ -274,7 +284,10 @@
 	}
 
 	void cancelAll(Exchange exchange) {
-		exchange.open().keySet().forEach((id) -> this.context.decide(new RoutingDecision.Cancel(id)));
+		for (Attempt attempt : exchange.open().values()) {
+			attempt.markOverdue(exchange.remainingNanos(this.context.now()) <= 0);
+			this.context.decide(new RoutingDecision.Cancel(attempt.id()));
+		}
 	}
 
 }
--- a/routing/src/main/java/io/verbenatrack/routing/RoutingDecision.java
+++ b/routing/src/main/java/io/verbenatrack/routing/RoutingDecision.java
@@ -107,8 +107,9 @@
 	 * Replace the idle connections to a target, one of which went silent.
 	 *
 	 * @param target the target
+	 * @param url where it listens
 	 */
-	record DropConnections(TargetId target) implements RoutingDecision {
+	record DropConnections(TargetId target, String url) implements RoutingDecision {
 
 	}
 
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/routing/RequestHandler.java
@@ -0,0 +1,82 @@
+package io.verbenatrack.server.routing;
+
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.model.Result;
+
+/**
+ * Takes requests of callers at {@code POST /v1/requests/{service}} and passes on all
+ * else.
+ */
+public final class RequestHandler extends Handler.Abstract.NonBlocking {
+
+	private final RequestRouting routing;
+
+	private final CallerRequestParser parser;
+
+	private final RequestLimits limits;
+
+	RequestHandler(RequestRouting routing, CallerRequestParser parser, RequestLimits limits) {
+		this.routing = routing;
+		this.parser = parser;
+		this.limits = limits;
+	}
+
+	@Override
+	public boolean handle(Request request, Response response, Callback callback) {
+		String path = request.getHttpURI().getDecodedPath();
+		if (!request.getMethod().equals("POST") || path == null || !path.startsWith(CallerRequestParser.PATH_PREFIX)) {
+			return false;
+		}
+		switch (this.parser.parse(request)) {
+			case Result.Failure<CallerRequest> failure ->
+				CallerExchange.writeProblem(response, callback, "refused", failure.problem());
+			case Result.Success<CallerRequest> success -> take(request, response, callback, success.value());
+		}
+		return true;
+	}
+
+	private void take(Request request, Response response, Callback callback, CallerRequest asked) {
+		// The deadline of the request, and not an idle connection, ends the wait.
+		request.addIdleTimeoutListener((timeout) -> false);
+		if (asked.isStreamed()) {
+			accept(request, response, callback, asked);
+			return;
+		}
+		Content.Source.asByteArrayAsync(request, this.limits.bufferedBytes()).whenComplete((body, failure) -> {
+			if (failure == null) {
+				acceptHeld(request, response, callback, asked, body);
+			}
+			else {
+				CallerExchange.writeProblem(response, callback, "refused", unread(failure));
+			}
+		});
+	}
+
+	private void acceptHeld(Request request, Response response, Callback callback, CallerRequest asked, byte[] body) {
+		CallerRequest held = asked.withBody(body);
+		if (asked.digest() != null && !asked.digest().equals(held.digest())) {
+			CallerExchange.writeProblem(response, callback, "refused", new Problem(ProblemKind.INVALID,
+					"The body does not match its digest.", "Send the whole body again."));
+			return;
+		}
+		accept(request, response, callback, held);
+	}
+
+	private void accept(Request request, Response response, Callback callback, CallerRequest asked) {
+		this.routing.accept(new CallerExchange(request, response, callback, asked));
+	}
+
+	private Problem unread(Throwable failure) {
+		return new Problem(ProblemKind.TOO_LARGE, "The body could not be read: " + failure.getMessage(),
+				"Send the whole body, with its Content-Length when it is over " + this.limits.bufferedBytes()
+						+ " bytes.");
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/routing/RequestRouting.java
@@ -0,0 +1,268 @@
+package io.verbenatrack.server.routing;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.eclipse.jetty.util.component.LifeCycle;
+
+import io.verbenatrack.model.AttemptId;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.model.RequestOutcome;
+import io.verbenatrack.routing.AnswerSource;
+import io.verbenatrack.routing.AttemptResult;
+import io.verbenatrack.routing.ClaimResult;
+import io.verbenatrack.routing.ExchangeId;
+import io.verbenatrack.routing.KeptAnswer;
+import io.verbenatrack.routing.RequestRouter;
+import io.verbenatrack.routing.RoutingDecision;
+import io.verbenatrack.routing.RoutingEvent;
+import io.verbenatrack.routing.SlotUse;
+
+/**
+ * Routes the requests of callers on one instance.
+ */
+public final class RequestRouting implements AutoCloseable {
+
+	private static final long SLOT_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+	private static final long MAINTENANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private final RoutingOptions options;
+
+	private final RequestRouter router;
+
+	private final RoutingLoop loop;
+
+	private final TargetConnections connections;
+
+	private final AtomicLong nextExchange = new AtomicLong();
+
+	private final Map<ExchangeId, CallerExchange> callers = new ConcurrentHashMap<>();
+
+	private final Map<AttemptId, TargetDispatch> dispatches = new HashMap<>();
+
+	private final Map<ExchangeId, AttemptId> keeping = new HashMap<>();
+
+	private final CompletableFuture<Void> drained = new CompletableFuture<>();
+
+	private long slotsReportedAtNanos;
+
+	private long maintainedAtNanos;
+
+	private volatile RoutingCounts counts = new RoutingCounts(0, 0, 0, 0);
+
+	private RequestRouting(RoutingOptions options) {
+		this.options = options;
+		this.router = new RequestRouter(options.self(), options.zone(), options.directory(), options.weights(),
+				options.settings(), options.random());
+		this.connections = new TargetConnections(options.client(), options.monotonic());
+		this.loop = new RoutingLoop(this.router, options.monotonic(), this::execute, this::maintain);
+	}
+
+	/**
+	 * Starts request routing.
+	 * @param options what it needs
+	 * @return the running routing
+	 */
+	public static RequestRouting start(RoutingOptions options) {
+		RequestRouting routing = new RequestRouting(options);
+		routing.loop.start();
+		return routing;
+	}
+
+	/**
+	 * The handler of callers' requests.
+	 * @return a handler that passes on all other paths
+	 */
+	public RequestHandler handler() {
+		CallerRequestParser parser = new CallerRequestParser(this.options.limits(), this.options.clock(),
+				this.options.monotonic());
+		return new RequestHandler(this, parser, this.options.limits());
+	}
+
+	/**
+	 * Tells which instances share the targets.
+	 * @param instances all that are up, this one included
+	 */
+	public void instancesChanged(List<InstanceId> instances) {
+		this.loop.put(new RoutingEvent.InstancesChanged(instances));
+	}
+
+	/**
+	 * Takes what another instance tells of its slots.
+	 * @param use the use
+	 */
+	public void slotUseHeard(SlotUse use) {
+		this.loop.put(new RoutingEvent.SlotUseHeard(use));
+	}
+
+	/**
+	 * Refuses new requests and finishes those in flight.
+	 * @param hardDeadline how long to wait before the rest is cut
+	 * @return completes when nothing is in flight
+	 */
+	public CompletableFuture<Void> drain(Duration hardDeadline) {
+		this.loop.put(new RoutingEvent.DrainBegan(this.options.monotonic().nanoTime() + hardDeadline.toNanos()));
+		return this.drained;
+	}
+
+	/**
+	 * The counts of the last tick.
+	 * @return the counts
+	 */
+	public RoutingCounts counts() {
+		return this.counts;
+	}
+
+	void accept(CallerExchange caller) {
+		ExchangeId id = new ExchangeId(this.nextExchange.getAndIncrement());
+		CallerRequest asked = caller.asked();
+		this.callers.put(id, caller);
+		caller.request().addFailureListener((failure) -> this.loop.put(new RoutingEvent.CallerGone(id)));
+		boolean offered = this.loop.offer(new RoutingEvent.Accepted(id, asked.spec(), asked.digest(),
+				asked.deadlineNanos(), !asked.isStreamed(), asked.firstSend()));
+		if (!offered) {
+			this.callers.remove(id);
+			caller.tell(ringFull(asked));
+		}
+	}
+
+	private static RequestOutcome<Void> ringFull(CallerRequest asked) {
+		if (asked.spec().idempotent() || asked.firstSend()) {
+			return new RequestOutcome.NotRun<>(new Problem(ProblemKind.OVERLOADED,
+					"This instance has too many new requests.", "Send it again later; it did not run."));
+		}
+		return new RequestOutcome.Unknown<>(new Problem(ProblemKind.UNKNOWN_OUTCOME,
+				"This send was not dispatched, and an earlier one may have run.",
+				"Send the same request id again to learn its outcome."));
+	}
+
+	private void execute(RoutingEvent event, List<RoutingDecision> decisions) {
+		decisions.forEach(this::execute);
+		forgetAnswer(event);
+	}
+
+	private void execute(RoutingDecision decision) {
+		switch (decision) {
+			case RoutingDecision.Claim claim -> this.options.claims()
+				.claim(claim.request(), claim.body(), claim.attempt())
+				.exceptionally(RequestRouting::claimFailed)
+				.thenAccept((result) -> this.loop.put(new RoutingEvent.ClaimSettled(claim.exchange(), result)));
+			case RoutingDecision.Release release -> this.options.claims()
+				.release(release.request(), release.attempt())
+				.whenComplete((done, failure) -> this.loop.put(new RoutingEvent.ReleaseSettled(release.exchange())));
+			case RoutingDecision.KeepAnswer keep -> keep(keep);
+			case RoutingDecision.Dispatch dispatch -> dispatch(dispatch);
+			case RoutingDecision.Cancel cancel -> cancel(cancel.attempt());
+			case RoutingDecision.Stream stream -> stream(stream);
+			case RoutingDecision.Tell tell -> tell(tell.exchange(), tell.outcome());
+			case RoutingDecision.Refuse refuse -> this.callers.remove(refuse.exchange()).refuse(refuse.problem());
+			case RoutingDecision.DropConnections drop -> this.connections.drop(drop.url());
+			case RoutingDecision.Drained done -> this.drained.complete(null);
+		}
+	}
+
+	private static ClaimResult claimFailed(Throwable failure) {
+		return new ClaimResult.Unknown(new Problem(ProblemKind.UNKNOWN_OUTCOME,
+				"The claim failed: " + failure.getMessage(), "Send the same request id again."));
+	}
+
+	private void dispatch(RoutingDecision.Dispatch decision) {
+		CallerExchange caller = this.callers.get(decision.exchange());
+		TargetDispatch dispatch = new TargetDispatch(decision, caller, this.connections, this.loop::put,
+				this.options.limits());
+		this.dispatches.put(decision.attempt(), dispatch);
+		dispatch.start(this.options.client(), this.options.monotonic());
+	}
+
+	private void cancel(AttemptId attempt) {
+		TargetDispatch dispatch = this.dispatches.get(attempt);
+		if (dispatch != null) {
+			dispatch.cancel();
+		}
+	}
+
+	private void stream(RoutingDecision.Stream decision) {
+		AnswerReader reader = this.dispatches.get(decision.attempt()).reader();
+		CallerExchange caller = this.callers.get(decision.exchange());
+		caller.writeHead(decision.attempt(), decision.target(), reader.head().contentType(), reader.head().length(),
+				reader.head().digest());
+		reader.streamTo(caller);
+	}
+
+	private void keep(RoutingDecision.KeepAnswer keep) {
+		AnswerReader reader = this.dispatches.get(keep.answered()).reader();
+		this.keeping.put(keep.exchange(), keep.answered());
+		byte[] body = reader.isHeld() ? reader.heldBody() : new byte[0];
+		KeptAnswer answer = new KeptAnswer(keep.answered(), keep.target(), reader.head().contentType(), body,
+				reader.isHeld());
+		this.options.claims()
+			.keepAnswer(keep.request(), keep.claimed(), answer)
+			.whenComplete((kept, failure) -> this.loop.put(new RoutingEvent.KeepSettled(keep.exchange())));
+	}
+
+	private void tell(ExchangeId exchange, RequestOutcome<AnswerSource> outcome) {
+		CallerExchange caller = this.callers.remove(exchange);
+		if (!(outcome instanceof RequestOutcome.Answered<AnswerSource> answered)) {
+			caller.tell(outcome);
+			return;
+		}
+		switch (answered.body()) {
+			case AnswerSource.FromStore store -> caller.answer(answered.attempt(), answered.target(),
+					store.answer().contentType(), store.answer().body());
+			case AnswerSource.Carried carried -> answer(caller, answered);
+		}
+	}
+
+	private void answer(CallerExchange caller, RequestOutcome.Answered<AnswerSource> answered) {
+		AnswerReader reader = this.dispatches.remove(answered.attempt()).reader();
+		if (reader.isHeld()) {
+			caller.answer(answered.attempt(), answered.target(), reader.head().contentType(), reader.heldBody());
+		}
+		else {
+			caller.writeLastPart(reader.withheldPart());
+		}
+	}
+
+	// An answer is held until it was told and kept, or until nobody waits for it.
+	private void forgetAnswer(RoutingEvent event) {
+		if (event instanceof RoutingEvent.KeepSettled settled) {
+			AttemptId kept = this.keeping.remove(settled.exchange());
+			this.dispatches.remove(kept);
+		}
+		else if (event instanceof RoutingEvent.AttemptEnded ended
+				&& !(ended.result() instanceof AttemptResult.Answered && this.keeping.containsValue(ended.attempt()))) {
+			this.dispatches.remove(ended.attempt());
+		}
+	}
+
+	private void maintain() {
+		long now = this.options.monotonic().nanoTime();
+		if (now - this.slotsReportedAtNanos >= SLOT_REPORT_NANOS) {
+			this.slotsReportedAtNanos = now;
+			this.router.slotUses(now).forEach(this.options.slotUses());
+		}
+		if (now - this.maintainedAtNanos >= MAINTENANCE_NANOS) {
+			this.maintainedAtNanos = now;
+			this.connections.maintain();
+			this.counts = new RoutingCounts(this.router.open(), this.router.queued(), this.router.setAside(),
+					this.connections.silentFound());
+		}
+	}
+
+	@Override
+	public void close() throws InterruptedException {
+		this.loop.close();
+		this.connections.close();
+		LifeCycle.stop(this.options.client());
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/routing/StreamedRequestBody.java
@@ -0,0 +1,76 @@
+package io.verbenatrack.server.routing;
+
+import java.io.IOException;
+import java.security.MessageDigest;
+
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.io.Content;
+
+import io.verbenatrack.routing.BodyDigest;
+
+/**
+ * Passes a large request body on as the target takes it, and withholds its end unless the
+ * digest fits.
+ */
+final class StreamedRequestBody implements Request.Content {
+
+	private final Content.Source source;
+
+	private final CallerRequest asked;
+
+	private final MessageDigest digest = BodyDigest.newMessageDigest();
+
+	StreamedRequestBody(Content.Source source, CallerRequest asked) {
+		this.source = source;
+		this.asked = asked;
+	}
+
+	@Override
+	public String getContentType() {
+		return this.asked.contentType().isEmpty() ? null : this.asked.contentType();
+	}
+
+	@Override
+	public long getLength() {
+		return this.asked.streamedBytes();
+	}
+
+	@Override
+	public Content.Chunk read() {
+		Content.Chunk chunk = this.source.read();
+		if (chunk == null) {
+			return null;
+		}
+		if (Content.Chunk.isFailure(chunk)) {
+			return Content.Chunk.from(new CallerFailure(chunk.getFailure().getMessage()));
+		}
+		this.digest.update(chunk.getByteBuffer().slice());
+		if (chunk.isLast() && !BodyDigest.of(this.digest).equals(this.asked.digest())) {
+			chunk.release();
+			return Content.Chunk.from(new CallerFailure("The body of the caller does not match its digest."));
+		}
+		return chunk;
+	}
+
+	@Override
+	public void demand(Runnable demandCallback) {
+		this.source.demand(demandCallback);
+	}
+
+	@Override
+	public void fail(Throwable failure) {
+		this.source.fail(failure);
+	}
+
+	/**
+	 * The caller, and not the target, failed.
+	 */
+	static final class CallerFailure extends IOException {
+
+		CallerFailure(String message) {
+			super(message);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/routing/TargetConnection.java
@@ -0,0 +1,62 @@
+package io.verbenatrack.server.routing;
+
+import org.eclipse.jetty.client.Connection;
+
+import io.verbenatrack.model.StateChart;
+import io.verbenatrack.routing.RequestRouter;
+
+/**
+ * One connection to a target and where it stands in the connection chart.
+ */
+final class TargetConnection {
+
+	static final StateChart CHART = StateChart.load(RequestRouter.class, "/charts/connection.yaml");
+
+	private final Connection connection;
+
+	private final long openedAtNanos;
+
+	private String state = CHART.initialState();
+
+	private long repliedAtNanos;
+
+	TargetConnection(Connection connection, long nowNanos) {
+		this.connection = connection;
+		this.openedAtNanos = nowNanos;
+		this.repliedAtNanos = nowNanos;
+	}
+
+	Connection connection() {
+		return this.connection;
+	}
+
+	synchronized boolean move(String event) {
+		String next = CHART.next(this.state, event).orElse(null);
+		if (next == null) {
+			return false;
+		}
+		this.state = next;
+		if (CHART.isFinal(next)) {
+			this.connection.close();
+		}
+		return true;
+	}
+
+	synchronized boolean replied(long nowNanos) {
+		this.repliedAtNanos = nowNanos;
+		return move("replied");
+	}
+
+	synchronized boolean is(String name) {
+		return this.state.equals(name);
+	}
+
+	synchronized long silentNanos(long nowNanos) {
+		return nowNanos - this.repliedAtNanos;
+	}
+
+	long ageNanos(long nowNanos) {
+		return nowNanos - this.openedAtNanos;
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/routing/TargetConnections.java
@@ -0,0 +1,193 @@
+package io.verbenatrack.server.routing;
+
+import java.net.URI;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.eclipse.jetty.client.Connection;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpMethod;
+
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.routing.TargetSpec;
+
+/**
+ * Holds the open connections to targets, and takes only those that replied lately.
+ * <p>
+ * An idle connection is asked for a reply before it grows stale, and closed when none
+ * comes, so that connections whose path was lost do not fill the pool.
+ */
+final class TargetConnections implements AutoCloseable {
+
+	private static final long PROBE_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private static final long TAKEN_WITHIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1800);
+
+	private static final long PROBE_TIMEOUT_MILLIS = 500;
+
+	private static final long MAXIMUM_AGE_NANOS = TimeUnit.MINUTES.toNanos(5);
+
+	private final HttpClient client;
+
+	private final MonotonicClock clock;
+
+	private final Map<String, Deque<TargetConnection>> idle = new ConcurrentHashMap<>();
+
+	private final AtomicInteger silentFound = new AtomicInteger();
+
+	TargetConnections(HttpClient client, MonotonicClock clock) {
+		this.client = client;
+		this.clock = clock;
+	}
+
+	/**
+	 * Takes a connection that replied lately, or opens one.
+	 * @param target where to
+	 * @return the connection, busy; fails when none can be opened
+	 */
+	CompletableFuture<TargetConnection> take(TargetSpec target) {
+		TargetConnection pooled = takeIdle(target.url());
+		if (pooled != null) {
+			return CompletableFuture.completedFuture(pooled);
+		}
+		return this.client.resolveDestination(request(target.url())).newConnection().thenApply(this::opened);
+	}
+
+	private TargetConnection takeIdle(String url) {
+		Deque<TargetConnection> pool = pool(url);
+		synchronized (pool) {
+			TargetConnection candidate = pool.pollFirst();
+			while (candidate != null) {
+				boolean usable = !candidate.connection().isClosed()
+						&& candidate.silentNanos(this.clock.nanoTime()) < TAKEN_WITHIN_NANOS;
+				if (usable && candidate.move("taken")) {
+					return candidate;
+				}
+				candidate.move("failed");
+				candidate = pool.pollFirst();
+			}
+			return null;
+		}
+	}
+
+	private TargetConnection opened(Connection connection) {
+		TargetConnection opened = new TargetConnection(connection, this.clock.nanoTime());
+		opened.move("opened");
+		opened.move("taken");
+		return opened;
+	}
+
+	private Request request(String url) {
+		return this.client.newRequest(URI.create(url));
+	}
+
+	private Deque<TargetConnection> pool(String url) {
+		return this.idle.computeIfAbsent(url, (key) -> new ArrayDeque<>());
+	}
+
+	/**
+	 * Gives a connection back after a whole reply.
+	 * @param target whose it is
+	 * @param connection the connection
+	 */
+	void giveBack(TargetSpec target, TargetConnection connection) {
+		if (connection.replied(this.clock.nanoTime())) {
+			putIdle(target.url(), connection);
+		}
+	}
+
+	private void putIdle(String url, TargetConnection connection) {
+		Deque<TargetConnection> pool = pool(url);
+		synchronized (pool) {
+			pool.addFirst(connection);
+		}
+	}
+
+	/**
+	 * Closes the idle connections to a target, one of whose connections went silent.
+	 * @param url where the target listens
+	 */
+	void drop(String url) {
+		this.silentFound.incrementAndGet();
+		removeIdle(url).forEach((connection) -> connection.move("failed"));
+	}
+
+	private List<TargetConnection> removeIdle(String url) {
+		Deque<TargetConnection> pool = pool(url);
+		synchronized (pool) {
+			List<TargetConnection> removed = new ArrayList<>(pool);
+			pool.clear();
+			return removed;
+		}
+	}
+
+	/** Asks idle connections for a reply, and closes old ones. */
+	void maintain() {
+		long now = this.clock.nanoTime();
+		for (Map.Entry<String, Deque<TargetConnection>> pool : this.idle.entrySet()) {
+			for (TargetConnection connection : takeDue(pool.getValue(), now)) {
+				probe(pool.getKey(), connection);
+			}
+		}
+		this.idle.values().removeIf((pool) -> {
+			synchronized (pool) {
+				return pool.isEmpty();
+			}
+		});
+	}
+
+	private static List<TargetConnection> takeDue(Deque<TargetConnection> pool, long now) {
+		synchronized (pool) {
+			pool.removeIf((connection) -> connection.connection().isClosed()
+					|| (connection.ageNanos(now) > MAXIMUM_AGE_NANOS && connection.move("aged")));
+			List<TargetConnection> due = pool.stream()
+				.filter((connection) -> connection.silentNanos(now) > PROBE_AFTER_NANOS)
+				.toList();
+			pool.removeAll(due);
+			return due;
+		}
+	}
+
+	// Any reply will do: it proves that the path still carries bytes both ways.
+	private void probe(String url, TargetConnection connection) {
+		if (!connection.move("probe-sent")) {
+			return;
+		}
+		Request probe = request(url).method(HttpMethod.HEAD)
+			.path("/")
+			.timeout(PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		connection.connection().send(probe, (result) -> {
+			if (result.isSucceeded() && connection.replied(this.clock.nanoTime())) {
+				putIdle(url, connection);
+			}
+			else if (connection.move("reply-missing")) {
+				this.silentFound.incrementAndGet();
+			}
+		});
+	}
+
+	int silentFound() {
+		return this.silentFound.get();
+	}
+
+	int idleCount(String url) {
+		Deque<TargetConnection> pool = pool(url);
+		synchronized (pool) {
+			return pool.size();
+		}
+	}
+
+	@Override
+	public void close() {
+		List.copyOf(this.idle.keySet()).forEach((url) -> removeIdle(url).forEach((one) -> one.move("failed")));
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Carries requests between callers and targets over HTTP.
+ */
+package io.verbenatrack.server.routing;
