Test each routing rule by pairs of cases

Found by them: a loan could be given out twice over, because a borrower reported one slot to two lenders, and because an owner lent slots it had not got back; over 200 seeds of delayed and reordered reports the instances together now stay within the slots. Conclusion: slots hold over all instances while the list of instances stays the same.

--- a/routing/src/main/java/io/verbenatrack/routing/SlotShares.java
+++ b/routing/src/main/java/io/verbenatrack/routing/SlotShares.java
@@ -81,8 +81,8 @@
 		Ledger ledger = this.ledgers.computeIfAbsent(target.id(), (id) -> new Ledger());
 		this.sequence++;
 		int entitled = entitled(target);
-		int spare = (wanted > 0) ? 0 : entitled - Math.min(inFlight, entitled);
-		ledger.lend(spare, this.sequence, nowNanos);
+		int free = (wanted > 0) ? 0 : entitled - Math.min(inFlight, entitled) - ledger.outstanding();
+		ledger.lend(wanted == 0, free, this.sequence, nowNanos);
 		int over = Math.max(0, inFlight - (entitled - ledger.outstanding()));
 		return ledger.report(this.self, target.id(), this.sequence, wanted, over, nowNanos);
 	}
@@ -97,6 +97,8 @@
 
 		private final Map<InstanceId, Integer> borrowed = new TreeMap<>();
 
+		private final Map<InstanceId, Integer> held = new TreeMap<>();
+
 		private boolean told;
 
 		private void keepOnly(List<InstanceId> instances) {
@@ -104,6 +106,7 @@
 			this.heard.keySet().retainAll(instances);
 			this.heardAtNanos.keySet().retainAll(instances);
 			this.borrowed.keySet().retainAll(instances);
+			this.held.keySet().retainAll(instances);
 		}
 
 		private int outstanding() {
@@ -129,14 +132,16 @@
 			}
 			this.heard.put(use.from(), use);
 			this.heardAtNanos.put(use.from(), nowNanos);
-			this.borrowed.put(use.from(), use.lent().getOrDefault(self, 0));
+			int granted = use.lent().getOrDefault(self, 0);
+			this.borrowed.put(use.from(), granted);
+			this.held.merge(use.from(), granted, Math::max);
 			Loan loan = this.lent.get(use.from());
 			if (loan != null && use.acknowledged().getOrDefault(self, -1L) >= loan.changedAt) {
 				loan.outstanding = Math.max(loan.granted, use.held().getOrDefault(self, 0));
 			}
 		}
 
-		private void lend(int spare, long sequence, long nowNanos) {
+		private void lend(boolean lends, int free, long sequence, long nowNanos) {
 			List<InstanceId> wanting = new ArrayList<>();
 			for (SlotUse use : this.heard.values()) {
 				if (use.wanted() > 0 && isFresh(use.from(), nowNanos)) {
@@ -145,10 +150,13 @@
 			}
 			Map<InstanceId, Integer> grants = new TreeMap<>();
 			this.lent.keySet().forEach((borrower) -> grants.put(borrower, 0));
-			for (int i = 0; i < wanting.size(); i++) {
-				InstanceId borrower = wanting.get(i);
-				int part = spare / wanting.size() + ((i < spare % wanting.size()) ? 1 : 0);
-				grants.put(borrower, Math.min(part, this.heard.get(borrower).wanted() + heldBy(borrower)));
+			int left = Math.max(0, free);
+			for (InstanceId borrower : wanting) {
+				int outstanding = heldBy(borrower);
+				int useful = this.heard.get(borrower).wanted() + outstanding;
+				int more = Math.min(Math.ceilDiv(left, wanting.size()), useful - outstanding);
+				grants.put(borrower, lends ? outstanding + more : 0);
+				left -= more;
 			}
 			grants.forEach((borrower, slots) -> this.lent.computeIfAbsent(borrower, (id) -> new Loan())
 				.grant(slots, sequence));
@@ -163,28 +171,29 @@
 				long nowNanos) {
 			Map<InstanceId, Integer> grants = new TreeMap<>();
 			this.lent.forEach((borrower, loan) -> grants.put(borrower, loan.granted));
-			Map<InstanceId, Integer> held = held(over, nowNanos);
+			settleHeld(over, nowNanos);
 			Map<InstanceId, Long> acknowledged = new TreeMap<>();
 			this.heard.forEach((from, use) -> acknowledged.put(from, use.sequence()));
 			boolean quiet = wanted == 0 && over == 0 && outstanding() == 0 && borrowed(nowNanos) == 0;
 			boolean tell = !quiet || this.told;
 			this.told = !quiet;
-			return tell ? Optional.of(new SlotUse(self, target, sequence, wanted, grants, held, acknowledged))
+			return tell ? Optional.of(new SlotUse(self, target, sequence, wanted, grants, this.held, acknowledged))
 					: Optional.empty();
 		}
 
-		private Map<InstanceId, Integer> held(int over, long nowNanos) {
-			Map<InstanceId, Integer> held = new TreeMap<>();
+		// A recalled slot is held until what runs on it ends; each counts for one lender
+		// only.
+		private void settleHeld(int over, long nowNanos) {
 			int left = over;
 			for (Map.Entry<InstanceId, Integer> loan : this.borrowed.entrySet()) {
-				int granted = isFresh(loan.getKey(), nowNanos) ? loan.getValue() : 0;
-				held.put(loan.getKey(), granted);
-				left -= granted;
+				left -= isFresh(loan.getKey(), nowNanos) ? loan.getValue() : 0;
 			}
-			for (InstanceId lender : held.keySet()) {
-				held.merge(lender, Math.max(0, left), Integer::sum);
+			for (Map.Entry<InstanceId, Integer> loan : this.borrowed.entrySet()) {
+				int granted = isFresh(loan.getKey(), nowNanos) ? loan.getValue() : 0;
+				int kept = Math.clamp(left, 0, this.held.get(loan.getKey()) - granted);
+				this.held.put(loan.getKey(), granted + kept);
+				left -= kept;
 			}
-			return held;
 		}
 
 	}
--- /dev/null
+++ b/routing/src/test/java/io/verbenatrack/routing/RequestRouterTests.java
@@ -0,0 +1,181 @@
+package io.verbenatrack.routing;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.RequestId;
+import io.verbenatrack.model.RequestOutcome;
+import io.verbenatrack.model.RequestSpec;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Covers what the fault matrix does not: hedges, outliers, drain and quorum loss.
+ */
+public class RequestRouterTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private static final BodyDigest BODY = BodyDigest.of(new byte[0]);
+
+	private SimulatedTargets targets;
+
+	private RequestRouter router;
+
+	private long now;
+
+	private long exchanges;
+
+	@BeforeMethod
+	void start() {
+		this.targets = new SimulatedTargets(10, 8);
+		this.router = new RequestRouter(new InstanceId("i"), SimulatedTargets.ZONE, this.targets, (account) -> 1,
+				RoutingSettings.STANDARD, new SplittableRandom(1));
+		this.now = 0;
+		this.exchanges = 0;
+	}
+
+	@Test
+	public void aProofOfNotBegunIsRetriedElsewhere() {
+		RoutingDecision.Dispatch first = dispatch(accept(true));
+		advance(first, AttemptStep.HEAD_SENT);
+		assertThat(end(first, new AttemptResult.NotBegun())).isEmpty();
+		RoutingDecision.Dispatch second = dispatch(after(100));
+		assertThat(second.target()).isNotEqualTo(first.target());
+	}
+
+	@Test
+	public void aLostDispatchThatIsNotIdempotentIsNotRetried() {
+		accept(false);
+		RoutingDecision.Dispatch first = dispatch(
+				handle(new RoutingEvent.ClaimSettled(new ExchangeId(0), new ClaimResult.Granted())));
+		advance(first, AttemptStep.HEAD_SENT);
+		assertThat(end(first, new AttemptResult.Lost(LossCause.RESET))).singleElement()
+			.isInstanceOfSatisfying(RoutingDecision.Tell.class,
+					(tell) -> assertThat(tell.outcome()).isInstanceOf(RequestOutcome.Unknown.class));
+	}
+
+	@Test
+	public void withoutAQuorumAFirstSendIsNotRunAndAResendUnknown() {
+		assertThat(tellOfUnavailableClaim(true)).isInstanceOf(RequestOutcome.NotRun.class);
+		assertThat(tellOfUnavailableClaim(false)).isInstanceOf(RequestOutcome.Unknown.class);
+	}
+
+	private RequestOutcome<AnswerSource> tellOfUnavailableClaim(boolean firstSend) {
+		ExchangeId id = new ExchangeId(this.exchanges++);
+		handle(new RoutingEvent.Accepted(id, spec(false), BODY, 1000 * MILLI, true, firstSend));
+		return handle(new RoutingEvent.ClaimSettled(id, new ClaimResult.Unavailable(Outcomes.notDispatched("x"))))
+			.stream()
+			.map(RoutingDecision.Tell.class::cast)
+			.findFirst()
+			.orElseThrow()
+			.outcome();
+	}
+
+	@Test
+	public void aSlowDispatchIsHedgedOnceTimesAreKnown() {
+		answerMany(50);
+		RoutingDecision.Dispatch slow = dispatch(accept(true));
+		advance(slow, AttemptStep.HEAD_SENT);
+		RoutingDecision.Dispatch hedge = dispatch(after(200));
+		advance(hedge, AttemptStep.HEAD_SENT);
+		List<RoutingDecision> decisions = end(hedge, new AttemptResult.Answered());
+		assertThat(decisions).hasAtLeastOneElementOfType(RoutingDecision.Tell.class)
+			.contains(new RoutingDecision.Cancel(slow.attempt()));
+		assertThat(end(slow, new AttemptResult.Answered())).as("the late answer").isEmpty();
+		assertThat(this.router.open()).isZero();
+	}
+
+	@Test
+	public void aFailingTargetIsSetAside() {
+		for (int i = 0; i < 400; i++) {
+			Deque<RoutingDecision.Dispatch> running = new ArrayDeque<>(dispatches(accept(true)));
+			while (!running.isEmpty()) {
+				RoutingDecision.Dispatch dispatch = running.pop();
+				advance(dispatch, AttemptStep.HEAD_SENT);
+				boolean bad = dispatch.target().id().value().equals("t-3");
+				running.addAll(dispatches(after(10)));
+				running.addAll(dispatches(
+						end(dispatch, bad ? new AttemptResult.Lost(LossCause.RESET) : new AttemptResult.Answered())));
+			}
+			dispatches(after(50)).forEach((retry) -> end(retry, new AttemptResult.NotSent("not needed")));
+		}
+		assertThat(this.router.setAside()).isEqualTo(1);
+	}
+
+	@Test
+	public void whenAllFailTheFaultIsOursAndNoneIsSetAside() {
+		for (int i = 0; i < 400; i++) {
+			dispatches(accept(true)).forEach((dispatch) -> end(dispatch, new AttemptResult.NotSent("cut off")));
+			dispatches(after(20)).forEach((dispatch) -> end(dispatch, new AttemptResult.NotSent("cut off")));
+		}
+		assertThat(this.router.setAside()).isZero();
+	}
+
+	@Test
+	public void drainTellsWhenNothingIsInFlight() {
+		RoutingDecision.Dispatch running = dispatch(accept(true));
+		advance(running, AttemptStep.HEAD_SENT);
+		assertThat(handle(new RoutingEvent.DrainBegan(10_000 * MILLI))).isEmpty();
+		assertThat(accept(true)).hasOnlyElementsOfType(RoutingDecision.Tell.class);
+		assertThat(end(running, new AttemptResult.Answered()))
+			.hasAtLeastOneElementOfType(RoutingDecision.Drained.class);
+	}
+
+	private void answerMany(int count) {
+		for (int i = 0; i < count; i++) {
+			RoutingDecision.Dispatch dispatch = dispatch(accept(true));
+			advance(dispatch, AttemptStep.HEAD_SENT);
+			this.now += 10 * MILLI;
+			end(dispatch, new AttemptResult.Answered());
+		}
+	}
+
+	private List<RoutingDecision> accept(boolean idempotent) {
+		return handle(new RoutingEvent.Accepted(new ExchangeId(this.exchanges++), spec(idempotent), BODY,
+				this.now + 1000 * MILLI, true, false));
+	}
+
+	private RequestSpec spec(boolean idempotent) {
+		return new RequestSpec(new RequestId("r-" + this.exchanges), SimulatedTargets.SERVICE, new AccountId("vans"),
+				idempotent, Instant.EPOCH);
+	}
+
+	private List<RoutingDecision> after(long millis) {
+		this.now += millis * MILLI;
+		return handle(new RoutingEvent.Ticked());
+	}
+
+	private void advance(RoutingDecision.Dispatch dispatch, AttemptStep step) {
+		handle(new RoutingEvent.AttemptAdvanced(dispatch.attempt(), step));
+	}
+
+	private List<RoutingDecision> end(RoutingDecision.Dispatch dispatch, AttemptResult result) {
+		return handle(new RoutingEvent.AttemptEnded(dispatch.attempt(), result));
+	}
+
+	private List<RoutingDecision> handle(RoutingEvent event) {
+		return new ArrayList<>(this.router.handle(event, this.now));
+	}
+
+	private static List<RoutingDecision.Dispatch> dispatches(List<RoutingDecision> decisions) {
+		return decisions.stream()
+			.filter(RoutingDecision.Dispatch.class::isInstance)
+			.map(RoutingDecision.Dispatch.class::cast)
+			.toList();
+	}
+
+	private static RoutingDecision.Dispatch dispatch(List<RoutingDecision> decisions) {
+		return dispatches(decisions).getFirst();
+	}
+
+}
--- /dev/null
+++ b/routing/src/test/java/io/verbenatrack/routing/RetryBudgetTests.java
@@ -0,0 +1,36 @@
+package io.verbenatrack.routing;
+
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Covers {@link RetryBudget}.
+ */
+public class RetryBudgetTests {
+
+	@Test
+	public void allowsATenthOfTheFirstAttempts() {
+		RetryBudget budget = new RetryBudget(0.1);
+		int retries = 0;
+		for (int i = 0; i < 10_000; i++) {
+			budget.firstAttempt();
+			retries += budget.tryWithdraw() ? 1 : 0;
+		}
+		assertThat(retries).isBetween(999, 1001);
+	}
+
+	@Test
+	public void doesNotSaveUpWithoutEnd() {
+		RetryBudget budget = new RetryBudget(0.1);
+		for (int i = 0; i < 10_000; i++) {
+			budget.firstAttempt();
+		}
+		int retries = 0;
+		while (budget.tryWithdraw()) {
+			retries++;
+		}
+		assertThat(retries).isEqualTo(10);
+	}
+
+}
--- /dev/null
+++ b/routing/src/test/java/io/verbenatrack/routing/SlotSharesTests.java
@@ -0,0 +1,100 @@
+package io.verbenatrack.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.testng.annotations.Test;
+
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.ServiceId;
+import io.verbenatrack.model.TargetId;
+import io.verbenatrack.model.ZoneId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Covers {@link SlotShares}.
+ */
+public class SlotSharesTests {
+
+	private static final TargetSpec TARGET = new TargetSpec(new TargetId("t"), new ServiceId("s"), new ZoneId("z"),
+			"http://t", 8, 64);
+
+	private static final List<InstanceId> ALL = List.of(new InstanceId("a"), new InstanceId("b"), new InstanceId("c"));
+
+	@Test
+	public void idleSlotsAreLentAndRecalled() {
+		List<SlotShares> shares = shares();
+		int own = shares.get(0).capacity(TARGET, 0);
+		exchange(shares, new int[] { own, 0, 0 }, new int[] { 8, 0, 0 }, 0);
+		exchange(shares, new int[] { own, 0, 0 }, new int[] { 8, 0, 0 }, 1);
+		assertThat(shares.get(0).capacity(TARGET, 1)).isEqualTo(8);
+		exchange(shares, new int[] { 8, 0, 0 }, new int[] { 8, 1, 1 }, 2);
+		assertThat(shares.get(0).capacity(TARGET, 2)).isEqualTo(own);
+		assertThat(shares.get(1).capacity(TARGET, 2)).as("the borrower still runs on them").isZero();
+		exchange(shares, new int[] { own, 0, 0 }, new int[] { 0, 1, 1 }, 3);
+		exchange(shares, new int[] { own, 0, 0 }, new int[] { 0, 1, 1 }, 4);
+		assertThat(sum(shares, 4)).isEqualTo(8);
+	}
+
+	@Test
+	public void aLoanEndsWhenItsOwnerIsNotHeard() {
+		List<SlotShares> shares = shares();
+		int own = shares.get(0).capacity(TARGET, 0);
+		exchange(shares, new int[] { own, 0, 0 }, new int[] { 8, 0, 0 }, 0);
+		exchange(shares, new int[] { own, 0, 0 }, new int[] { 8, 0, 0 }, 1);
+		assertThat(shares.get(0).capacity(TARGET, 2_000_000_000L)).isEqualTo(own);
+	}
+
+	@Test
+	public void allTogetherNeverExceedTheSlots() {
+		for (int seed = 0; seed < 200; seed++) {
+			SplittableRandom random = new SplittableRandom(seed);
+			List<SlotShares> shares = shares();
+			int[] inFlight = new int[3];
+			List<SlotUse> late = new ArrayList<>();
+			for (int round = 0; round < 100; round++) {
+				int[] wanted = random.ints(3, 0, 5).toArray();
+				for (int i = 0; i < 3; i++) {
+					int capacity = shares.get(i).capacity(TARGET, round);
+					inFlight[i] = Math.max(0, inFlight[i] - random.nextInt(3));
+					inFlight[i] = Math.max(inFlight[i], Math.min(capacity, inFlight[i] + wanted[i]));
+				}
+				assertThat(inFlight[0] + inFlight[1] + inFlight[2]).as("seed " + seed).isLessThanOrEqualTo(8);
+				for (int i = 0; i < 3; i++) {
+					shares.get(i).report(TARGET, inFlight[i], wanted[i], round).ifPresent(late::add);
+				}
+				deliverSome(shares, late, random, round);
+			}
+		}
+	}
+
+	private static void deliverSome(List<SlotShares> shares, List<SlotUse> late, SplittableRandom random, int now) {
+		for (SlotUse use : List.copyOf(late)) {
+			if (random.nextInt(3) > 0) {
+				shares.forEach((one) -> one.hear(use, now));
+				late.remove(use);
+			}
+		}
+	}
+
+	private static List<SlotShares> shares() {
+		List<SlotShares> shares = ALL.stream().map(SlotShares::new).toList();
+		shares.forEach((one) -> one.share(ALL));
+		return shares;
+	}
+
+	private static void exchange(List<SlotShares> shares, int[] inFlight, int[] wanted, long now) {
+		List<SlotUse> uses = new ArrayList<>();
+		for (int i = 0; i < shares.size(); i++) {
+			shares.get(i).report(TARGET, inFlight[i], wanted[i], now).ifPresent(uses::add);
+		}
+		uses.forEach((use) -> shares.forEach((one) -> one.hear(use, now)));
+	}
+
+	private static int sum(List<SlotShares> shares, long now) {
+		return shares.stream().mapToInt((one) -> one.capacity(TARGET, now)).sum();
+	}
+
+}
--- /dev/null
+++ b/routing/src/test/java/io/verbenatrack/routing/rules/HedgeDelayTests.java
@@ -0,0 +1,33 @@
+package io.verbenatrack.routing.rules;
+
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Pairs of cases for {@link HedgeDelay}.
+ */
+public class HedgeDelayTests {
+
+	@Test
+	public void waitsForTheUsualTailFirst() {
+		assertThat(HedgeDelay.delayNanos(100, 10, 2, 1000)).hasValue(18);
+	}
+
+	@Test
+	public void doesNotPayWithoutMeasuredTimes() {
+		assertThat(HedgeDelay.delayNanos(3, 10, 2, 1000)).isEmpty();
+	}
+
+	@Test
+	public void doesNotPayWhenTheSecondComesTooLate() {
+		assertThat(HedgeDelay.delayNanos(100, 10, 2, 27)).isEmpty();
+	}
+
+	@Test
+	public void doesNotPayWhenSlotsAreShort() {
+		assertThat(HedgeDelay.hasRoom(69, 100)).isTrue();
+		assertThat(HedgeDelay.hasRoom(70, 100)).isFalse();
+	}
+
+}
--- /dev/null
+++ b/routing/src/test/java/io/verbenatrack/routing/rules/OutlierDetectionTests.java
@@ -0,0 +1,58 @@
+package io.verbenatrack.routing.rules;
+
+import java.time.Duration;
+
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Pairs of cases for {@link OutlierDetection}.
+ */
+public class OutlierDetectionTests {
+
+	private static final long MEDIAN = 100;
+
+	@Test
+	public void failuresInARowLookBad() {
+		assertThat(looksBad(5, 5, 1, 0, 0)).isTrue();
+		assertThat(looksBad(4, 4, 1, 0, 0)).isFalse();
+	}
+
+	@Test
+	public void frequentFailuresLookBad() {
+		assertThat(looksBad(20, 1, 0.6, MEDIAN, 0)).isTrue();
+		assertThat(looksBad(20, 1, 0.4, MEDIAN, 0)).isFalse();
+	}
+
+	@Test
+	public void slownessLooksBad() {
+		assertThat(looksBad(20, 0, 0, 401, 0)).isTrue();
+		assertThat(looksBad(20, 0, 0, 400, 0)).isFalse();
+	}
+
+	@Test
+	public void hangingLooksBad() {
+		assertThat(looksBad(0, 0, 0, 0, 1601)).isTrue();
+		assertThat(looksBad(0, 0, 0, 0, 1600)).isFalse();
+	}
+
+	@Test
+	public void theCapHolds() {
+		assertThat(OutlierDetection.withinCap(12, 30, 0.4)).isTrue();
+		assertThat(OutlierDetection.withinCap(13, 30, 0.4)).isFalse();
+	}
+
+	@Test
+	public void repeatedOutliersStayAwayLonger() {
+		assertThat(OutlierDetection.durationNanos(0, Duration.ofNanos(5))).isEqualTo(5);
+		assertThat(OutlierDetection.durationNanos(2, Duration.ofNanos(5))).isEqualTo(20);
+		assertThat(OutlierDetection.durationNanos(60, Duration.ofNanos(5))).isEqualTo(80);
+	}
+
+	private static boolean looksBad(int samples, int failures, double share, long mean, long oldest) {
+		return OutlierDetection.looksBad(new OutlierDetection.TargetRecord(samples, failures, share, mean, oldest),
+				MEDIAN);
+	}
+
+}
