Join replicas over gRPC, lease the configuration, and prove both by schedules

Change: one gRPC stream to each peer, with receipts; a connection whose receipts stay out is replaced by a new channel. GrpcReplica.start gives a replica and its service. ConfigurationLease admits work only under a lease that a leader granted, refuses lower revisions and tells why it does not admit.

--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/control/ClaimWorkload.java
@@ -0,0 +1,128 @@
+package io.verbenatrack.bench.control;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import io.verbenatrack.bench.control.ClaimModel.Action;
+import io.verbenatrack.bench.control.LinearizabilityChecker.Operation;
+import io.verbenatrack.control.Proposal;
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.AttemptId;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.RequestId;
+import io.verbenatrack.state.claims.ClaimCodec;
+import io.verbenatrack.state.claims.ClaimReply;
+
+/**
+ * Entries that claim the same few requests, answer them or give them back, and resend.
+ */
+final class ClaimWorkload {
+
+	private static final AccountId ACCOUNT = new AccountId("vans");
+
+	private static final InstanceId ENTRY = new InstanceId("entry");
+
+	private static final Duration RETENTION = Duration.ofDays(1);
+
+	private static final double RELEASES = 0.5;
+
+	private final List<List<Operation<ClaimModel.Input, ClaimModel.Output>>> histories = new ArrayList<>();
+
+	private final SimulatedCluster cluster;
+
+	private final long thinkNanos;
+
+	private int attempts;
+
+	private long endNanos;
+
+	ClaimWorkload(SimulatedCluster cluster, Duration think, int requests) {
+		this.cluster = cluster;
+		this.thinkNanos = think.toNanos();
+		for (int i = 0; i < requests; i++) {
+			this.histories.add(new ArrayList<>());
+		}
+	}
+
+	void start(int entries, long untilNanos, SplittableRandom random) {
+		this.endNanos = untilNanos;
+		for (int i = 0; i < entries; i++) {
+			think(new ReplicaCalls(this.cluster, random.split()));
+		}
+	}
+
+	private void think(ReplicaCalls calls) {
+		calls.time().after(this.thinkNanos / 2 + calls.random().nextLong(this.thinkNanos), () -> {
+			if (calls.time().nowNanos() <= this.endNanos) {
+				this.attempts++;
+				act(calls, calls.random().nextInt(this.histories.size()), Action.CLAIM, "a" + this.attempts);
+			}
+		});
+	}
+
+	private void act(ReplicaCalls calls, int request, Action action, String attempt) {
+		List<Operation<ClaimModel.Input, ClaimModel.Output>> history = this.histories.get(request);
+		if (calls.time().nowNanos() > this.endNanos
+				|| history.size() + 4 >= LinearizabilityChecker.MAXIMUM_OPERATIONS) {
+			return;
+		}
+		long invoked = calls.time().nowNanos();
+		ClaimModel.Input input = new ClaimModel.Input(action, attempt);
+		calls.propose(ControlMachine.claimCommand(command(request, action, attempt, calls)), (outcome) -> {
+			if (outcome.isPresent() && outcome.get() instanceof Proposal.Committed committed) {
+				ClaimModel.Output output = output(ClaimCodec.reply(committed.result()));
+				history.add(new Operation<>(input, invoked, calls.time().nowNanos(), Optional.of(output)));
+				goOn(calls, request, input, output);
+				return;
+			}
+			boolean neverAdded = outcome.isPresent() && outcome.get() instanceof Proposal.NotLeader;
+			if (!neverAdded) {
+				history.add(new Operation<>(input, invoked, Long.MAX_VALUE, Optional.empty()));
+			}
+			calls.turn(outcome);
+			calls.time().after(this.thinkNanos, () -> act(calls, request, action, attempt));
+		});
+	}
+
+	private void goOn(ReplicaCalls calls, int request, ClaimModel.Input input, ClaimModel.Output output) {
+		if (input.action() == Action.CLAIM && output.kind().equals("granted")) {
+			Action next = (calls.random().nextDouble() < RELEASES) ? Action.RELEASE : Action.KEEP;
+			calls.time().after(this.thinkNanos, () -> act(calls, request, next, input.attempt()));
+			return;
+		}
+		think(calls);
+	}
+
+	private static byte[] command(int request, Action action, String attempt, ReplicaCalls calls) {
+		RequestId id = new RequestId("q" + request);
+		AttemptId attemptId = new AttemptId(attempt);
+		return switch (action) {
+			case CLAIM ->
+				ClaimCodec.claim(id, ACCOUNT, "digest", ENTRY, attemptId, calls.target().wallClock().plus(RETENTION));
+			case KEEP -> ClaimCodec.keepAnswer(id, ACCOUNT, attemptId, attempt.getBytes(StandardCharsets.UTF_8));
+			case RELEASE -> ClaimCodec.release(id, ACCOUNT, attemptId);
+		};
+	}
+
+	private static ClaimModel.Output output(ClaimReply reply) {
+		return switch (reply) {
+			case ClaimReply.Granted granted -> new ClaimModel.Output("granted", "");
+			case ClaimReply.AlreadyRunning running -> new ClaimModel.Output("running", running.attempt().value());
+			case ClaimReply.Kept kept -> new ClaimModel.Output("kept", kept.answer().toStringUtf8());
+			case ClaimReply.Done done -> new ClaimModel.Output("done", "");
+			case ClaimReply.NoSuchClaim none -> new ClaimModel.Output("none", "");
+			case ClaimReply.DifferentRequest different -> new ClaimModel.Output("different", "");
+			case ClaimReply.TooManyClaims many -> new ClaimModel.Output("many", "");
+			case ClaimReply.Expired expired -> new ClaimModel.Output("expired", "");
+		};
+	}
+
+	List<List<Operation<ClaimModel.Input, ClaimModel.Output>>> histories() {
+		return this.histories;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/control/ControlMachine.java
@@ -0,0 +1,77 @@
+package io.verbenatrack.bench.control;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+
+import io.verbenatrack.control.StateMachine;
+import io.verbenatrack.state.claims.ClaimState;
+import io.verbenatrack.state.configuration.ConfigurationInForce;
+import io.verbenatrack.state.configuration.ConfigurationState;
+
+/**
+ * Configuration and claims behind one log; the first byte of a command says which.
+ */
+final class ControlMachine implements StateMachine {
+
+	private static final byte CONFIGURATION = 0;
+
+	private static final byte CLAIM = 1;
+
+	private static final int MAXIMUM_CLAIMS = 100_000;
+
+	private static final long MAXIMUM_ANSWER_BYTES = 1 << 26;
+
+	private final ConfigurationState configuration = new ConfigurationState();
+
+	private final ClaimState claims = new ClaimState(MAXIMUM_CLAIMS, MAXIMUM_ANSWER_BYTES);
+
+	static byte[] configurationCommand(byte[] command) {
+		return framed(CONFIGURATION, command);
+	}
+
+	static byte[] claimCommand(byte[] command) {
+		return framed(CLAIM, command);
+	}
+
+	private static byte[] framed(byte kind, byte[] command) {
+		return ByteBuffer.allocate(command.length + 1).put(kind).put(command).array();
+	}
+
+	@Override
+	public byte[] apply(long index, byte[] command) {
+		byte[] bare = new byte[command.length - 1];
+		System.arraycopy(command, 1, bare, 0, bare.length);
+		return (command[0] == CONFIGURATION) ? this.configuration.apply(bare) : this.claims.apply(bare);
+	}
+
+	@Override
+	public void epochRaised(long index, long epoch) {
+		this.configuration.raiseEpoch(epoch);
+	}
+
+	@Override
+	public byte[] snapshot() {
+		byte[] first = this.configuration.snapshot();
+		ByteArrayOutputStream all = new ByteArrayOutputStream();
+		all.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(first.length).array());
+		all.writeBytes(first);
+		all.writeBytes(this.claims.snapshot());
+		return all.toByteArray();
+	}
+
+	@Override
+	public void restore(byte[] snapshot) {
+		ByteBuffer buffer = ByteBuffer.wrap(snapshot);
+		byte[] first = new byte[buffer.getInt()];
+		buffer.get(first);
+		byte[] second = new byte[buffer.remaining()];
+		buffer.get(second);
+		this.configuration.restore(first);
+		this.claims.restore(second);
+	}
+
+	ConfigurationInForce inForce() {
+		return this.configuration.inForce();
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/control/LinearizabilityChecker.java
@@ -0,0 +1,155 @@
+package io.verbenatrack.bench.control;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Searches for an order of operations that explains their results: J. Wing and C. Gong,
+ * Testing and Verifying Concurrent Objects, 1993, with the visited states remembered as
+ * in G. Lowe, Testing for Linearizability, 2017.
+ *
+ * @param <S> the type of the states, compared by value
+ * @param <I> the type of the inputs
+ * @param <O> the type of the results
+ */
+final class LinearizabilityChecker<S, I, O> {
+
+	/** The most operations of one history. */
+	static final int MAXIMUM_OPERATIONS = 63;
+
+	/** After so many visited states the verdict stays open. */
+	private static final int MAXIMUM_VISITED = 2_000_000;
+
+	private final Model<S, I, O> model;
+
+	private final List<Operation<I, O>> history;
+
+	private final Set<Visited<S>> visited = new HashSet<>();
+
+	private boolean exhausted;
+
+	LinearizabilityChecker(Model<S, I, O> model, List<Operation<I, O>> history) {
+		if (history.size() > MAXIMUM_OPERATIONS) {
+			throw new IllegalArgumentException("A history of " + history.size() + " operations is too long. Give "
+					+ MAXIMUM_OPERATIONS + " at most.");
+		}
+		this.model = model;
+		this.history = history;
+	}
+
+	Verdict check() {
+		boolean found = search(0, this.model.initial());
+		if (found) {
+			return Verdict.LINEARIZABLE;
+		}
+		return this.exhausted ? Verdict.OPEN : Verdict.NOT_LINEARIZABLE;
+	}
+
+	private boolean search(long taken, S state) {
+		if (allReturnedAreTaken(taken)) {
+			return true;
+		}
+		if (!this.visited.add(new Visited<>(taken, state))) {
+			return false;
+		}
+		if (this.visited.size() > MAXIMUM_VISITED) {
+			this.exhausted = true;
+			return false;
+		}
+		long earliestReturn = earliestReturn(taken);
+		for (int i = 0; i < this.history.size(); i++) {
+			Operation<I, O> operation = this.history.get(i);
+			if ((taken & (1L << i)) != 0 || operation.invokedNanos() > earliestReturn) {
+				continue;
+			}
+			Step<S, O> step = this.model.apply(state, operation.input());
+			boolean explains = operation.result().isEmpty() || operation.result().get().equals(step.result());
+			if (explains && search(taken | (1L << i), step.state())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private boolean allReturnedAreTaken(long taken) {
+		for (int i = 0; i < this.history.size(); i++) {
+			if ((taken & (1L << i)) == 0 && this.history.get(i).result().isPresent()) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private long earliestReturn(long taken) {
+		long earliest = Long.MAX_VALUE;
+		for (int i = 0; i < this.history.size(); i++) {
+			Operation<I, O> operation = this.history.get(i);
+			if ((taken & (1L << i)) == 0 && operation.result().isPresent()) {
+				earliest = Math.min(earliest, operation.returnedNanos());
+			}
+		}
+		return earliest;
+	}
+
+	/** What the search found. */
+	enum Verdict {
+
+		/** An order explains all results. */
+		LINEARIZABLE,
+
+		/** No order does. */
+		NOT_LINEARIZABLE,
+
+		/** The search was given up. */
+		OPEN
+
+	}
+
+	/**
+	 * The sequential behaviour.
+	 *
+	 * @param <S> the type of the states
+	 * @param <I> the type of the inputs
+	 * @param <O> the type of the results
+	 */
+	interface Model<S, I, O> {
+
+		S initial();
+
+		Step<S, O> apply(S state, I input);
+
+	}
+
+	/**
+	 * One step of a model.
+	 *
+	 * @param <S> the type of the states
+	 * @param <O> the type of the results
+	 * @param state the next state
+	 * @param result the result
+	 */
+	record Step<S, O>(S state, O result) {
+
+	}
+
+	/**
+	 * One operation of a history.
+	 *
+	 * @param <I> the type of the input
+	 * @param <O> the type of the result
+	 * @param input the input
+	 * @param invokedNanos when it was asked for
+	 * @param returnedNanos when its result arrived
+	 * @param result the result, empty when it never arrived
+	 */
+	record Operation<I, O>(I input, long invokedNanos, long returnedNanos, Optional<O> result) {
+
+	}
+
+	private record Visited<S>(long taken, S state) {
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SafetyMonitor.java
@@ -0,0 +1,121 @@
+package io.verbenatrack.bench.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.google.protobuf.ByteString;
+
+import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.protocol.control.LogEntry;
+import io.verbenatrack.protocol.control.ReplicaMessage;
+
+/**
+ * Watches what must hold at every moment of a schedule.
+ */
+final class SafetyMonitor {
+
+	private final SimulatedCluster cluster;
+
+	private final Map<Long, ByteString> committed = new TreeMap<>();
+
+	private final Map<Long, ReplicaId> leaders = new TreeMap<>();
+
+	private final Map<String, String> followed = new TreeMap<>();
+
+	private final List<String> violations = new ArrayList<>();
+
+	private long resumes;
+
+	private long wrongPlainResumes;
+
+	private long unknownResumes;
+
+	SafetyMonitor(SimulatedCluster cluster) {
+		this.cluster = cluster;
+	}
+
+	void observe(SimulatedReplica replica) {
+		if (replica.core().role().leading()) {
+			ReplicaId earlier = this.leaders.putIfAbsent(replica.core().term(), replica.id());
+			if (earlier != null && !earlier.equals(replica.id())) {
+				violate("two leaders in term " + replica.core().term() + ": " + earlier + " and " + replica.id());
+			}
+		}
+		if (replica.leads()) {
+			long deciding = this.cluster.replicas().stream().filter(SimulatedReplica::leads).count();
+			if (deciding > 1) {
+				violate("two replicas hold a leader lease at once");
+			}
+		}
+	}
+
+	void committed(SimulatedReplica replica, LogEntry entry) {
+		ByteString earlier = this.committed.putIfAbsent(entry.getIndex(), entry.toByteString());
+		if (earlier != null && !earlier.equals(entry.toByteString())) {
+			violate("entry " + entry.getIndex() + " committed by " + replica.id() + " differs from an earlier commit");
+		}
+	}
+
+	/**
+	 * Notes what would happen if a follower simply went on from its last index.
+	 * @param follower the follower
+	 * @param message a message of its leader
+	 */
+	void delivered(SimulatedReplica follower, ReplicaMessage message) {
+		String leaderAndTerm = message.getFrom() + "@" + message.getTerm();
+		if (!message.hasAppendRequest() || message.getTerm() < follower.core().term()
+				|| leaderAndTerm.equals(this.followed.put(follower.id().text(), leaderAndTerm))) {
+			return;
+		}
+		this.cluster.replicas()
+			.stream()
+			.filter((leader) -> leader.alive() && leader.id().text().equals(message.getFrom()))
+			.forEach((leader) -> countResume(follower, leader));
+	}
+
+	private void countResume(SimulatedReplica follower, SimulatedReplica leader) {
+		long last = follower.core().lastIndex();
+		long leadersTerm = leader.core().termAt(last);
+		this.resumes++;
+		if (last > leader.core().lastIndex()) {
+			this.wrongPlainResumes++;
+		}
+		else if (leadersTerm < 0) {
+			this.unknownResumes++;
+		}
+		else if (leadersTerm != follower.core().termAt(last)) {
+			this.wrongPlainResumes++;
+		}
+	}
+
+	void violate(String what) {
+		this.violations.add("at " + this.cluster.time().nowNanos() / 1_000_000 + " ms: " + what);
+	}
+
+	List<String> violations() {
+		return this.violations;
+	}
+
+	long resumes() {
+		return this.resumes;
+	}
+
+	long wrongPlainResumes() {
+		return this.wrongPlainResumes;
+	}
+
+	long unknownResumes() {
+		return this.unknownResumes;
+	}
+
+	long terms() {
+		return this.leaders.size();
+	}
+
+	long committedEntries() {
+		return this.committed.size();
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedCluster.java
@@ -0,0 +1,128 @@
+package io.verbenatrack.bench.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import io.verbenatrack.control.ReplicaLimits;
+import io.verbenatrack.control.ReplicaPeer;
+import io.verbenatrack.control.ReplicaTimings;
+import io.verbenatrack.control.replica.ReplicaEvent;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.protocol.control.ReplicaMember;
+import io.verbenatrack.protocol.control.ReplicaMessage;
+
+/**
+ * The replicas of a schedule.
+ */
+final class SimulatedCluster {
+
+	private static final int FIRST_PORT = 7_000;
+
+	private static final int CHUNK_BYTES = 512;
+
+	private final VirtualTime time = new VirtualTime();
+
+	private final List<SimulatedReplica> replicas = new ArrayList<>();
+
+	private final List<ReplicaMember> founders = new ArrayList<>();
+
+	private final SafetyMonitor monitor = new SafetyMonitor(this);
+
+	private final SimulatedNetwork network;
+
+	private final ReplicaLimits limits;
+
+	SimulatedCluster(int size, int entriesBetweenSnapshots, SplittableRandom random) {
+		this.network = new SimulatedNetwork(this.time, random.split());
+		ReplicaLimits usual = ReplicaLimits.DEFAULT;
+		this.limits = new ReplicaLimits(usual.commandBytes(), usual.messageBytes(), usual.unacknowledgedEntries(),
+				usual.pendingEvents(), entriesBetweenSnapshots, Math.max(1, entriesBetweenSnapshots / 4), CHUNK_BYTES,
+				usual.maximumReplicas());
+		List<ReplicaPeer> peers = new ArrayList<>();
+		for (int i = 0; i < size; i++) {
+			peers.add(new ReplicaPeer(new InstanceId("r" + i), "127.0.0.1", FIRST_PORT + i));
+		}
+		peers.forEach((peer) -> this.founders.add(peer.member("")));
+		peers.forEach((peer) -> this.replicas.add(new SimulatedReplica(this, peer, random.split())));
+	}
+
+	void start() {
+		this.replicas.forEach(SimulatedReplica::start);
+	}
+
+	void send(ReplicaMember to, ReplicaMessage message) {
+		SimulatedReplica receiver = replica(to.getInstance());
+		this.network.send(to, message, (arrived) -> {
+			if (receiver.alive()) {
+				this.monitor.delivered(receiver, arrived);
+				receiver.handle(new ReplicaEvent.Received(arrived));
+			}
+		});
+	}
+
+	private SimulatedReplica replica(String instance) {
+		return this.replicas.get(Integer.parseInt(instance.substring(1)));
+	}
+
+	Optional<SimulatedReplica> leader() {
+		return this.replicas.stream().filter(SimulatedReplica::leads).findFirst();
+	}
+
+	/**
+	 * Whether every voter is a replica with the disk it has now, so that one may lose it.
+	 * @return whether a disk may be lost
+	 */
+	boolean mayLoseADisk() {
+		return leader().map((leader) -> leader.core().membership())
+			.filter((membership) -> membership.getVotersCount() == this.replicas.size())
+			.filter((membership) -> this.replicas.stream()
+				.allMatch((replica) -> replica.alive() && membership.getVotersList()
+					.stream()
+					.anyMatch((voter) -> voter.getIncarnation().equals(replica.disk().incarnation())
+							&& voter.getInstance().equals(replica.instance().value()))))
+			.isPresent();
+	}
+
+	void heal() {
+		this.network.heal();
+		for (SimulatedReplica replica : this.replicas) {
+			replica.disk().full(false);
+			replica.disk().slowNanos(0);
+			replica.clockRate(1);
+			if (!replica.alive()) {
+				replica.start();
+			}
+		}
+	}
+
+	VirtualTime time() {
+		return this.time;
+	}
+
+	SimulatedNetwork network() {
+		return this.network;
+	}
+
+	List<SimulatedReplica> replicas() {
+		return this.replicas;
+	}
+
+	List<ReplicaMember> founders() {
+		return this.founders;
+	}
+
+	SafetyMonitor monitor() {
+		return this.monitor;
+	}
+
+	ReplicaTimings timings() {
+		return ReplicaTimings.DEFAULT;
+	}
+
+	ReplicaLimits limits() {
+		return this.limits;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedDisk.java
@@ -0,0 +1,187 @@
+package io.verbenatrack.bench.control;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import com.google.protobuf.ByteString;
+
+import io.verbenatrack.control.replica.RecoveredLog;
+import io.verbenatrack.control.storage.LogRecovery;
+import io.verbenatrack.protocol.control.LogRecord;
+import io.verbenatrack.protocol.control.SnapshotHeader;
+
+/**
+ * A disk that loses what was not synced when its process crashes.
+ */
+final class SimulatedDisk {
+
+	private final TreeMap<Long, Snapshot> snapshots = new TreeMap<>();
+
+	private final Deque<Write> unsynced = new ArrayDeque<>();
+
+	private List<LogRecord> records = new ArrayList<>();
+
+	private SnapshotHeader incomingHeader = SnapshotHeader.getDefaultInstance();
+
+	private ByteString incoming = ByteString.EMPTY;
+
+	private final String incarnation;
+
+	private boolean full;
+
+	private long slowNanos;
+
+	/** When the disk is done with what it was given. */
+	private long busyUntilNanos;
+
+	SimulatedDisk(String incarnation) {
+		this.incarnation = incarnation;
+	}
+
+	String incarnation() {
+		return this.incarnation;
+	}
+
+	boolean full() {
+		return this.full;
+	}
+
+	void full(boolean now) {
+		this.full = now;
+	}
+
+	void slowNanos(long nanos) {
+		this.slowNanos = nanos;
+	}
+
+	/**
+	 * Reserves the disk for one operation.
+	 * @param nowNanos the time
+	 * @param latencyNanos how long it takes on a healthy disk
+	 * @return how long from now until it is done
+	 */
+	long reserve(long nowNanos, long latencyNanos) {
+		this.busyUntilNanos = Math.max(this.busyUntilNanos, nowNanos) + latencyNanos + this.slowNanos;
+		return this.busyUntilNanos - nowNanos;
+	}
+
+	Write write(List<LogRecord> added, boolean replaces) {
+		Write write = new Write(added, replaces);
+		this.unsynced.add(write);
+		return write;
+	}
+
+	void sync(Write write) {
+		while (this.unsynced.contains(write)) {
+			land(this.unsynced.poll());
+		}
+	}
+
+	private void land(Write write) {
+		if (write.replaces()) {
+			this.records = new ArrayList<>();
+		}
+		this.records.addAll(write.added());
+	}
+
+	/**
+	 * Loses what was not synced, but for a part of it that happened to be written.
+	 * @param random chooses the part
+	 */
+	void crash(RandomGenerator random) {
+		int landed = random.nextInt(this.unsynced.size() + 1);
+		for (int i = 0; i < landed; i++) {
+			Write write = this.unsynced.poll();
+			boolean torn = i == landed - 1 && !write.replaces();
+			land(torn ? write.prefix(random.nextInt(write.added().size() + 1)) : write);
+		}
+		this.unsynced.clear();
+		this.busyUntilNanos = 0;
+	}
+
+	RecoveredLog recover() {
+		SnapshotHeader latest = this.snapshots.isEmpty() ? SnapshotHeader.getDefaultInstance()
+				: this.snapshots.lastEntry().getValue().header();
+		LogRecovery recovery = new LogRecovery(latest);
+		this.records.forEach(recovery::accept);
+		try {
+			RecoveredLog recovered = recovery.recovered();
+			this.records = new ArrayList<>(recovery.records());
+			return recovered;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	SnapshotHeader saveSnapshot(SnapshotHeader described, byte[] state) {
+		SnapshotHeader header = described.toBuilder()
+			.setFormat(1)
+			.setLength(state.length)
+			.setChecksum(Arrays.hashCode(state))
+			.build();
+		this.snapshots.put(header.getIndex(), new Snapshot(header, ByteString.copyFrom(state)));
+		if (this.snapshots.size() > 2) {
+			this.snapshots.pollFirstEntry();
+		}
+		return header;
+	}
+
+	ByteString snapshot(SnapshotHeader header) {
+		Snapshot snapshot = this.snapshots.get(header.getIndex());
+		return (snapshot != null) ? snapshot.state() : null;
+	}
+
+	long writePart(SnapshotHeader header, long offset, ByteString data) {
+		if (this.snapshots.containsKey(header.getIndex())) {
+			return header.getLength();
+		}
+		if (!header.equals(this.incomingHeader)) {
+			this.incomingHeader = header;
+			this.incoming = ByteString.EMPTY;
+		}
+		if (this.incoming.size() == offset) {
+			this.incoming = this.incoming.concat(data);
+		}
+		if (this.incoming.size() == header.getLength()) {
+			this.snapshots.put(header.getIndex(), new Snapshot(header, this.incoming));
+		}
+		return this.incoming.size();
+	}
+
+	/**
+	 * Records on their way to the disk.
+	 *
+	 * @param added the records
+	 * @param replaces whether they replace all earlier ones
+	 */
+	record Write(List<LogRecord> added, boolean replaces) {
+
+		private Write prefix(int count) {
+			return new Write(this.added.subList(0, count), false);
+		}
+
+		@Override
+		public boolean equals(Object other) {
+			return this == other;
+		}
+
+		@Override
+		public int hashCode() {
+			return System.identityHashCode(this);
+		}
+
+	}
+
+	private record Snapshot(SnapshotHeader header, ByteString state) {
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedNetwork.java
@@ -0,0 +1,113 @@
+package io.verbenatrack.bench.control;
+
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.protocol.control.ReplicaMember;
+import io.verbenatrack.protocol.control.ReplicaMessage;
+
+/**
+ * Links that lose, double and reorder messages, and that can go silent either way.
+ */
+final class SimulatedNetwork {
+
+	private static final long LATENCY_NANOS = 1_000_000;
+
+	private static final long JITTER_NANOS = 300_000;
+
+	private static final long REORDER_NANOS = 40_000_000;
+
+	private final VirtualTime time;
+
+	private final RandomGenerator random;
+
+	private final Set<String> silentSenders = new TreeSet<>();
+
+	private final Set<String> silentReceivers = new TreeSet<>();
+
+	private double loss;
+
+	private double duplication;
+
+	private boolean reorder;
+
+	private long messages;
+
+	private long bytes;
+
+	SimulatedNetwork(VirtualTime time, RandomGenerator random) {
+		this.time = time;
+		this.random = random;
+	}
+
+	void send(ReplicaMember to, ReplicaMessage message, Consumer<ReplicaMessage> receiver) {
+		this.messages++;
+		this.bytes += message.getSerializedSize();
+		String sender = message.getFrom().substring(0, message.getFrom().indexOf('/'));
+		int copies = (this.random.nextDouble() < this.duplication) ? 2 : 1;
+		for (int i = 0; i < copies; i++) {
+			if (this.random.nextDouble() < this.loss) {
+				continue;
+			}
+			this.time.after(delay(), () -> {
+				if (!this.silentSenders.contains(sender) && !this.silentReceivers.contains(to.getInstance())) {
+					receiver.accept(message);
+				}
+			});
+		}
+	}
+
+	private long delay() {
+		long extra = this.reorder ? this.random.nextLong(REORDER_NANOS) : this.random.nextLong(JITTER_NANOS);
+		return LATENCY_NANOS + extra;
+	}
+
+	void silenceFrom(ReplicaId replica, boolean silent) {
+		toggle(this.silentSenders, replica, silent);
+	}
+
+	void silenceTo(ReplicaId replica, boolean silent) {
+		toggle(this.silentReceivers, replica, silent);
+	}
+
+	private static void toggle(Set<String> set, ReplicaId replica, boolean add) {
+		if (add) {
+			set.add(replica.instance().value());
+		}
+		else {
+			set.remove(replica.instance().value());
+		}
+	}
+
+	void loss(double part) {
+		this.loss = part;
+	}
+
+	void duplication(double part) {
+		this.duplication = part;
+	}
+
+	void reorder(boolean on) {
+		this.reorder = on;
+	}
+
+	void heal() {
+		this.silentSenders.clear();
+		this.silentReceivers.clear();
+		this.loss = 0;
+		this.duplication = 0;
+		this.reorder = false;
+	}
+
+	long messages() {
+		return this.messages;
+	}
+
+	long bytes() {
+		return this.bytes;
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/io/verbenatrack/bench/control/ScheduleTests.java
@@ -0,0 +1,38 @@
+package io.verbenatrack.bench.control;
+
+import java.util.List;
+
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Seeded schedules of faults; each seed gives the same schedule on every run.
+ */
+public class ScheduleTests {
+
+	private static final long FIRST_SEED = Long.getLong("control.seed", 1);
+
+	private static final int SCHEDULES = Integer.getInteger("control.schedules", 1_000);
+
+	private static final int THREADS = 3;
+
+	@Test
+	public void schedulesAreLinearizableAndRecover() {
+		List<ScheduleResult> results = ScheduleRuns.run(FIRST_SEED, SCHEDULES, THREADS);
+		System.out.println("control schedules: seeds " + FIRST_SEED + " to " + (FIRST_SEED + SCHEDULES - 1));
+		assertThat(results)
+			.allSatisfy((result) -> assertThat(result.violations()).as("seed " + result.seed()).isEmpty());
+		assertThat(results).as("histories too hard to check")
+			.allSatisfy((result) -> assertThat(result.openVerdicts()).isZero());
+		assertThat(results.stream().mapToInt(ScheduleResult::configurationOperations).sum())
+			.isGreaterThan(10 * SCHEDULES);
+		assertThat(results.stream().mapToInt(ScheduleResult::claimOperations).sum()).isGreaterThan(10 * SCHEDULES);
+	}
+
+	@Test
+	public void sameSeedGivesTheSameResult() {
+		assertThat(ScheduleRuns.run(7)).isEqualTo(ScheduleRuns.run(7));
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/configuration/ConfigurationLease.java
@@ -0,0 +1,148 @@
+package io.verbenatrack.control.configuration;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.model.Revision;
+import io.verbenatrack.protocol.control.ConfigurationReply;
+
+/**
+ * The configuration that an instance acts on, and until when it may.
+ *
+ * <p>
+ * It does no I/O: the requests to renew it are made by {@link ConfigurationRenewal}. Safe
+ * for use by several threads.
+ */
+public final class ConfigurationLease {
+
+	private final MonotonicClock clock;
+
+	private final Listener listener;
+
+	private volatile Held held = new Held("", Revision.NONE, ByteString.EMPTY, 0, false, false);
+
+	/**
+	 * Creates a lease that was not granted yet.
+	 * @param clock the monotonic clock
+	 * @param listener hears each new configuration, before work is admitted under it
+	 */
+	public ConfigurationLease(MonotonicClock clock, Listener listener) {
+		this.clock = clock;
+		this.listener = listener;
+	}
+
+	/**
+	 * Whether new work may be admitted.
+	 * @return whether the lease holds now
+	 */
+	public boolean mayAdmit() {
+		Held present = this.held;
+		return present.granted() && !present.lost() && this.clock.nanoTime() - present.endNanos() < 0;
+	}
+
+	/**
+	 * Why no work is admitted, for {@code /readyz} and refusals.
+	 * @return the problem, or empty when work may be admitted
+	 */
+	public Optional<Problem> obstacle() {
+		if (mayAdmit()) {
+			return Optional.empty();
+		}
+		Held present = this.held;
+		if (present.lost()) {
+			return Optional.of(new Problem(ProblemKind.UNAVAILABLE,
+					"The leader's configuration is older than " + text(present.revision()) + ", held here.",
+					"Find out which history was lost, then restart this instance."));
+		}
+		return Optional.of(new Problem(ProblemKind.UNAVAILABLE,
+				"The configuration lease on " + text(present.revision()) + " has run out; nothing was run.",
+				"Send it again; check that this instance reaches a majority of the replicas."));
+	}
+
+	private static String text(Revision revision) {
+		return "revision " + revision.number() + " of epoch " + revision.epoch();
+	}
+
+	/**
+	 * The cluster that granted it.
+	 * @return the cluster id, empty before the first grant
+	 */
+	public String cluster() {
+		return this.held.cluster();
+	}
+
+	/**
+	 * The revision acted on.
+	 * @return the latest revision this instance has held
+	 */
+	public Revision revision() {
+		return this.held.revision();
+	}
+
+	/**
+	 * The declarations acted on.
+	 * @return the encoded declarations
+	 */
+	public ByteString declarations() {
+		return this.held.declarations();
+	}
+
+	/**
+	 * Takes a leader's answer; one with a lower revision changes nothing.
+	 * @param reply the answer
+	 * @param askedNanos when it was asked for, on the monotonic clock
+	 * @return whether the lease was renewed
+	 */
+	public synchronized boolean renew(ConfigurationReply reply, long askedNanos) {
+		Held present = this.held;
+		Revision revision = new Revision(reply.getEpoch(), reply.getRevision());
+		if (reply.getOutcome() == ConfigurationReply.Outcome.POSITION_LOST) {
+			this.held = present.withLost();
+			return false;
+		}
+		if (reply.getOutcome() != ConfigurationReply.Outcome.GRANTED || revision.compareTo(present.revision()) < 0) {
+			return false;
+		}
+		if (reply.getUnchanged() && !revision.equals(present.revision())) {
+			return false;
+		}
+		ByteString declarations = reply.getUnchanged() ? present.declarations() : reply.getDeclarations();
+		long endNanos = askedNanos + Duration.ofMillis(reply.getLeaseMillis()).toNanos();
+		if (revision.compareTo(present.revision()) > 0) {
+			this.listener.changed(revision, declarations);
+		}
+		boolean extended = !present.granted() || endNanos - present.endNanos() > 0;
+		this.held = new Held(reply.getCluster(), revision, declarations, extended ? endNanos : present.endNanos(), true,
+				false);
+		return true;
+	}
+
+	/**
+	 * Hears each new configuration.
+	 */
+	public interface Listener {
+
+		/**
+		 * A new configuration is in force here.
+		 * @param revision its revision
+		 * @param declarations the encoded declarations
+		 */
+		void changed(Revision revision, ByteString declarations);
+
+	}
+
+	private record Held(String cluster, Revision revision, ByteString declarations, long endNanos, boolean granted,
+			boolean lost) {
+
+		private Held withLost() {
+			return new Held(this.cluster, this.revision, this.declarations, this.endNanos, this.granted, true);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/configuration/ConfigurationRenewal.java
@@ -0,0 +1,112 @@
+package io.verbenatrack.control.configuration;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.locks.LockSupport;
+
+import io.verbenatrack.control.ReplicaPeer;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.protocol.control.ConfigurationReply;
+import io.verbenatrack.protocol.control.ConfigurationRequest;
+
+/**
+ * Renews a configuration lease over and over, on a thread of its own: it asks the replica
+ * that granted the last one, then those it names, then all in turn.
+ */
+public final class ConfigurationRenewal implements AutoCloseable {
+
+	private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(50);
+
+	private final InstanceId self;
+
+	private final ConfigurationLease lease;
+
+	private final List<ReplicaPeer> replicas;
+
+	private final ConfigurationClient client;
+
+	private final MonotonicClock clock;
+
+	private final Duration interval;
+
+	private final Thread thread;
+
+	private volatile boolean closed;
+
+	private int next;
+
+	/**
+	 * Creates a renewal that does not run yet.
+	 * @param self this instance
+	 * @param lease what to renew
+	 * @param replicas whom to ask
+	 * @param client how to ask
+	 * @param clock the monotonic clock
+	 * @param interval between two renewals, a small part of the lease
+	 */
+	public ConfigurationRenewal(InstanceId self, ConfigurationLease lease, List<ReplicaPeer> replicas,
+			ConfigurationClient client, MonotonicClock clock, Duration interval) {
+		this.self = self;
+		this.lease = lease;
+		this.replicas = List.copyOf(replicas);
+		this.client = client;
+		this.clock = clock;
+		this.interval = interval;
+		this.thread = new Thread(this::run, "configuration-renewal");
+		this.thread.setDaemon(true);
+	}
+
+	/**
+	 * Starts the thread.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	private void run() {
+		while (!this.closed) {
+			Duration pause = renewOnce() ? this.interval : PAUSE_AFTER_FAILURE;
+			LockSupport.parkNanos(this, pause.toNanos());
+		}
+	}
+
+	/**
+	 * Asks one replica.
+	 * @return whether the lease was renewed
+	 */
+	boolean renewOnce() {
+		ReplicaPeer replica = this.replicas.get(this.next);
+		long askedNanos = this.clock.nanoTime();
+		ConfigurationRequest request = ConfigurationRequest.newBuilder()
+			.setInstance(this.self.value())
+			.setCluster(this.lease.cluster())
+			.setEpoch(this.lease.revision().epoch())
+			.setRevision(this.lease.revision().number())
+			.build();
+		Optional<ConfigurationReply> reply = this.client.ask(replica, request);
+		boolean renewed = reply.isPresent() && this.lease.renew(reply.get(), askedNanos);
+		if (!renewed) {
+			this.next = reply.flatMap(this::hinted).orElse((this.next + 1) % this.replicas.size());
+		}
+		return renewed;
+	}
+
+	private Optional<Integer> hinted(ConfigurationReply reply) {
+		for (int i = 0; i < this.replicas.size(); i++) {
+			if (i != this.next && this.replicas.get(i).instance().value().equals(reply.getLeader())) {
+				return Optional.of(i);
+			}
+		}
+		return Optional.empty();
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		LockSupport.unpark(this.thread);
+		this.client.close();
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/link/GrpcReplica.java
@@ -0,0 +1,49 @@
+package io.verbenatrack.control.link;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import io.verbenatrack.control.ReplicaSettings;
+import io.verbenatrack.control.StateMachine;
+import io.verbenatrack.control.configuration.ConfigurationAuthority;
+import io.verbenatrack.control.driver.Replica;
+import io.verbenatrack.control.driver.ReplicaListener;
+import io.verbenatrack.model.MonotonicClock;
+
+/**
+ * A replica that reaches the others over gRPC, and the service to register on this
+ * instance's gRPC server.
+ *
+ * @param replica the replica, to be closed before the server
+ * @param service the service
+ */
+public record GrpcReplica(Replica replica, ReplicaGrpcService service) implements AutoCloseable {
+
+	/** How long an instance may act on a configuration, from when it asked for it. */
+	public static final Duration CONFIGURATION_LEASE = Duration.ofSeconds(3);
+
+	/**
+	 * Starts a replica with the files of its data folder.
+	 * @param settings its settings
+	 * @param machine what it drives
+	 * @param configuration the configuration as the machine applied it
+	 * @param listener hears what operators want to know
+	 * @param clock the monotonic clock
+	 * @return the replica and its service
+	 * @throws IOException when the data folder cannot be used; the message names the
+	 * remedy
+	 */
+	public static GrpcReplica start(ReplicaSettings settings, StateMachine machine,
+			ConfigurationAuthority.Source configuration, ReplicaListener listener, MonotonicClock clock)
+			throws IOException {
+		Replica replica = Replica.start(settings, machine, new GrpcTransport(settings, clock), listener, clock);
+		ConfigurationAuthority authority = new ConfigurationAuthority(replica, configuration, CONFIGURATION_LEASE);
+		return new GrpcReplica(replica, new ReplicaGrpcService(replica, authority, clock));
+	}
+
+	@Override
+	public void close() {
+		this.replica.close();
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/link/GrpcStreams.java
@@ -0,0 +1,76 @@
+package io.verbenatrack.control.link;
+
+import io.grpc.ManagedChannel;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.ClientCallStreamObserver;
+import io.grpc.stub.ClientResponseObserver;
+
+import io.verbenatrack.protocol.control.DeliveryReceipt;
+import io.verbenatrack.protocol.control.ReplicaMessage;
+import io.verbenatrack.protocol.control.ReplicaServiceGrpc;
+
+/**
+ * Opens gRPC streams, each on a channel of its own, so that a new one does not share the
+ * fate of a silent one.
+ */
+final class GrpcStreams implements MessageStream {
+
+	private final ManagedChannel channel;
+
+	private volatile ClientCallStreamObserver<ReplicaMessage> call;
+
+	private GrpcStreams(String address, Events events) {
+		this.channel = NettyChannelBuilder.forTarget(address).usePlaintext().directExecutor().build();
+		ReplicaServiceGrpc.newStub(this.channel).deliver(new Receiver(events));
+	}
+
+	static Opener to(String address) {
+		return (events) -> new GrpcStreams(address, events);
+	}
+
+	@Override
+	public void send(ReplicaMessage message) {
+		this.call.onNext(message);
+	}
+
+	@Override
+	public boolean isReady() {
+		return this.call.isReady();
+	}
+
+	@Override
+	public void close() {
+		this.channel.shutdownNow();
+	}
+
+	private final class Receiver implements ClientResponseObserver<ReplicaMessage, DeliveryReceipt> {
+
+		private final Events events;
+
+		private Receiver(Events events) {
+			this.events = events;
+		}
+
+		@Override
+		public void beforeStart(ClientCallStreamObserver<ReplicaMessage> started) {
+			GrpcStreams.this.call = started;
+		}
+
+		@Override
+		public void onNext(DeliveryReceipt receipt) {
+			this.events.received(receipt.getReceived());
+		}
+
+		@Override
+		public void onError(Throwable failure) {
+			this.events.broken();
+		}
+
+		@Override
+		public void onCompleted() {
+			this.events.broken();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/verbenatrack/control/link/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections between replicas over gRPC.
+ */
+package io.verbenatrack.control.link;
--- a/control/src/main/java/io/verbenatrack/control/storage/LogRecovery.java
+++ b/control/src/main/java/io/verbenatrack/control/storage/LogRecovery.java
@@ -12,7 +12,7 @@
 /**
  * Folds the records of a log into its state: an entry replaces all from its index on.
  */
-final class LogRecovery {
+public final class LogRecovery {
 
 	private final SnapshotHeader snapshot;
 
@@ -20,11 +20,19 @@
 
 	private HardState hardState = HardState.getDefaultInstance();
 
-	LogRecovery(SnapshotHeader snapshot) {
+	/**
+	 * Starts with no records.
+	 * @param snapshot the latest snapshot beside the log; index 0 when there is none
+	 */
+	public LogRecovery(SnapshotHeader snapshot) {
 		this.snapshot = snapshot;
 	}
 
-	void accept(LogRecord record) {
+	/**
+	 * Takes the next record.
+	 * @param record the record
+	 */
+	public void accept(LogRecord record) {
 		if (record.hasHardState()) {
 			this.hardState = record.getHardState();
 			return;
@@ -38,7 +46,12 @@
 		this.entries.add(entry);
 	}
 
-	RecoveredLog recovered() throws StorageException {
+	/**
+	 * Gives what all records come to.
+	 * @return the log
+	 * @throws StorageException when entries are missing
+	 */
+	public RecoveredLog recovered() throws StorageException {
 		requireNoGaps();
 		if (replacedBySnapshot()) {
 			this.entries.clear();
@@ -79,7 +92,11 @@
 		}
 	}
 
-	List<LogRecord> records() {
+	/**
+	 * Gives the fewest records that come to the same.
+	 * @return the records
+	 */
+	public List<LogRecord> records() {
 		List<LogRecord> records = new ArrayList<>();
 		records.add(LogRecord.newBuilder().setHardState(this.hardState).build());
 		this.entries.forEach((entry) -> records.add(LogRecord.newBuilder().setEntry(entry).build()));
--- /dev/null
+++ b/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
@@ -0,0 +1,176 @@
+package io.verbenatrack.control.link;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.grpc.Server;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.control.Proposal;
+import io.verbenatrack.control.ReplicaPeer;
+import io.verbenatrack.control.ReplicaSettings;
+import io.verbenatrack.control.configuration.ConfigurationAuthority;
+import io.verbenatrack.control.configuration.ConfigurationLease;
+import io.verbenatrack.control.configuration.ConfigurationRenewal;
+import io.verbenatrack.control.configuration.GrpcConfigurationClient;
+import io.verbenatrack.control.driver.AppendingMachine;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.Revision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Tests for {@link GrpcReplica}: three replicas over loopback on real disks.
+ */
+public class GrpcReplicaTests {
+
+	private static final Duration LONG = Duration.ofSeconds(20);
+
+	private final List<ReplicaPeer> peers = new ArrayList<>();
+
+	private final List<Path> folders = new ArrayList<>();
+
+	private final List<Node> nodes = new ArrayList<>();
+
+	@BeforeMethod
+	void startThree() throws IOException {
+		this.peers.clear();
+		this.folders.clear();
+		this.nodes.clear();
+		for (int i = 0; i < 3; i++) {
+			this.peers.add(new ReplicaPeer(new InstanceId("r" + i), "127.0.0.1", freePort()));
+			this.folders.add(Files.createTempDirectory("replica" + i));
+		}
+		for (int i = 0; i < 3; i++) {
+			this.nodes.add(Node.start(this.peers, i, this.folders.get(i)));
+		}
+	}
+
+	@AfterMethod(alwaysRun = true)
+	void stopAll() {
+		this.nodes.forEach(Node::stop);
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+	private Node leader() {
+		await().atMost(LONG).until(() -> this.nodes.stream().anyMatch((node) -> node.replica.replica().leads()));
+		return this.nodes.stream().filter((node) -> node.replica.replica().leads()).findFirst().orElseThrow();
+	}
+
+	private static Proposal propose(Node node, String command) throws Exception {
+		return node.replica.replica().propose(command.getBytes(StandardCharsets.UTF_8)).get(20, TimeUnit.SECONDS);
+	}
+
+	@Test
+	public void allReplicasApplyTheSame() throws Exception {
+		Node leader = leader();
+		for (int i = 0; i < 20; i++) {
+			assertThat(propose(leader, "c" + i)).isInstanceOf(Proposal.Committed.class);
+		}
+		await().atMost(LONG)
+			.until(() -> this.nodes.stream().allMatch((node) -> node.machine.text().equals(leader.machine.text())));
+	}
+
+	@Test
+	public void anotherReplicaTakesOverAfterAStopAndNothingIsLost() throws Exception {
+		Node first = leader();
+		propose(first, "before");
+		first.stop();
+		this.nodes.remove(first);
+		Node second = leader();
+		propose(second, "after");
+		assertThat(second.machine.text()).isEqualTo("before after ");
+	}
+
+	@Test
+	public void replicaThatLostItsDiskIsReplacedByItsNewIncarnation() throws Exception {
+		Node leader = leader();
+		propose(leader, "before");
+		int lost = (leader.index + 1) % 3;
+		String old = this.nodes.get(lost).replica.replica().self().text();
+		this.nodes.get(lost).stop();
+		this.nodes.set(lost, Node.start(this.peers, lost, Files.createTempDirectory("replacement")));
+		String replacement = this.nodes.get(lost).replica.replica().self().incarnation();
+		await().atMost(LONG)
+			.until(() -> leader.replica.replica()
+				.status()
+				.membership()
+				.getVotersList()
+				.stream()
+				.anyMatch((voter) -> voter.getIncarnation().equals(replacement)));
+		assertThat(this.nodes.get(lost).replica.replica().self().text()).isNotEqualTo(old);
+		await().atMost(LONG).until(() -> this.nodes.get(lost).machine.text().equals("before "));
+	}
+
+	@Test
+	public void instanceWithoutADiskHoldsALeaseOnTheConfiguration() {
+		ConfigurationLease lease = new ConfigurationLease(MonotonicClock.system(), (revision, declarations) -> {
+		});
+		assertThat(lease.mayAdmit()).isFalse();
+		assertThat(lease.obstacle()).isPresent();
+		try (ConfigurationRenewal renewal = new ConfigurationRenewal(new InstanceId("entry"), lease, this.peers,
+				new GrpcConfigurationClient(Duration.ofMillis(300)), MonotonicClock.system(), Duration.ofMillis(500))) {
+			renewal.start();
+			await().atMost(LONG).until(lease::mayAdmit);
+			assertThat(lease.revision()).isEqualTo(new Revision(1, 5));
+		}
+		this.nodes.forEach(Node::stop);
+		await().atMost(LONG).until(() -> !lease.mayAdmit());
+	}
+
+	private static final class Node {
+
+		private final int index;
+
+		private final AppendingMachine machine = new AppendingMachine();
+
+		private GrpcReplica replica;
+
+		private Server server;
+
+		private Node(int index) {
+			this.index = index;
+		}
+
+		private static Node start(List<ReplicaPeer> peers, int index, Path folder) throws IOException {
+			Node node = new Node(index);
+			ReplicaSettings settings = new ReplicaSettings("test", peers.get(index), peers, folder);
+			node.replica = GrpcReplica.start(settings, node.machine,
+					() -> new ConfigurationAuthority.Held("", new Revision(1, 5), ByteString.EMPTY),
+					(notice, detail) -> {
+					}, MonotonicClock.system());
+			node.server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", peers.get(index).port()))
+				.addService(node.replica.service())
+				.build()
+				.start();
+			return node;
+		}
+
+		private void stop() {
+			this.replica.close();
+			this.server.shutdownNow();
+		}
+
+	}
+
+}
