--- a/server/src/main/java/io/verbenatrack/server/ControlModule.java
+++ b/server/src/main/java/io/verbenatrack/server/ControlModule.java
@@ -35,7 +35,11 @@
 import io.verbenatrack.server.log.ControlStateMachine;
 import io.verbenatrack.server.log.JobsState;
 import io.verbenatrack.server.peer.LeaderGateway;
+import io.verbenatrack.server.peer.NoReplica;
 import io.verbenatrack.server.peer.PeerChannels;
+import io.verbenatrack.server.peer.PeerListener;
+import io.verbenatrack.server.peer.PeerService;
+import io.verbenatrack.server.target.TargetExchange;
 import io.verbenatrack.server.worker.HttpWorkerPort;
 import io.verbenatrack.settings.InstanceSettings;
 import io.verbenatrack.settings.PeerSettings;
@@ -158,4 +162,12 @@
 		return new LeaderGateway(settings.instance(), local, replicas, channels, codec, timer, clock, COMMAND_TIMEOUT);
 	}
 
+	@Provides
+	@InstanceScope
+	static PeerListener peers(InstanceSettings settings, Optional<LocalExecutor> local, CommandCodec codec,
+			TargetExchange targets, Closer closer) {
+		CommandExecutor executor = local.map((known) -> (CommandExecutor) known).orElseGet(NoReplica::new);
+		return new PeerListener(settings.grpc(), closer, new PeerService(executor, codec, targets::receive));
+	}
+
 }
--- a/server/src/main/java/io/verbenatrack/server/InstanceComponent.java
+++ b/server/src/main/java/io/verbenatrack/server/InstanceComponent.java
@@ -10,7 +10,7 @@
  * The object graph of an instance.
  */
 @InstanceScope
-@Component(modules = { PlatformModule.class, ControlModule.class, HttpModule.class })
+@Component(modules = { PlatformModule.class, ControlModule.class, RoutingModule.class, HttpModule.class })
 interface InstanceComponent {
 
 	/**
--- a/server/src/main/java/io/verbenatrack/server/Listeners.java
+++ b/server/src/main/java/io/verbenatrack/server/Listeners.java
@@ -1,20 +1,17 @@
 package io.verbenatrack.server;
 
-import java.util.Optional;
+import java.util.List;
 
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 import io.verbenatrack.model.Closer;
-import io.verbenatrack.server.http.ApiHandler;
-import io.verbenatrack.server.leader.LeaderDuty;
 import io.verbenatrack.settings.InstanceSettings;
 
 /**
- * Opens and closes what an instance listens on.
+ * Opens what an instance listens on, after the duties behind it.
  */
 final class Listeners {
 
@@ -22,26 +19,22 @@
 
 	private final InstanceSettings settings;
 
-	private final ApiHandler api;
+	private final List<Handler> handlers;
 
-	private final Optional<LeaderDuty> duty;
+	private final Closer closer;
 
-	private final HttpClient client;
+	private final Duties duties;
 
 	private final Readiness readiness;
 
-	private final Closer closer;
-
 	private ServerConnector connector;
 
-	Listeners(InstanceSettings settings, ApiHandler api, Optional<LeaderDuty> duty, HttpClient client,
-			Readiness readiness, Closer closer) {
+	Listeners(InstanceSettings settings, List<Handler> handlers, Closer closer, Duties duties, Readiness readiness) {
 		this.settings = settings;
-		this.api = api;
-		this.duty = duty;
-		this.client = client;
-		this.readiness = readiness;
+		this.handlers = handlers;
 		this.closer = closer;
+		this.duties = duties;
+		this.readiness = readiness;
 	}
 
 	/**
@@ -49,8 +42,7 @@
 	 * @throws Exception when an address cannot be used
 	 */
 	void open() throws Exception {
-		this.client.start();
-		this.duty.ifPresent(LeaderDuty::start);
+		this.duties.start();
 		QueuedThreadPool threads = new QueuedThreadPool(HTTP_THREADS);
 		threads.setName("http");
 		Server server = new Server(threads);
@@ -59,7 +51,7 @@
 		this.connector.setPort(this.settings.http().port());
 		this.connector.setIdleTimeout(this.settings.timeouts().httpIdle().toMillis());
 		server.addConnector(this.connector);
-		server.setHandler(new Handler.Sequence(this.api));
+		server.setHandler(new Handler.Sequence(this.handlers));
 		this.closer.register(server::stop);
 		server.start();
 		this.readiness.ready();
@@ -69,4 +61,15 @@
 		return this.connector.getLocalPort();
 	}
 
+	/** What runs behind the listeners. */
+	interface Duties {
+
+		/**
+		 * Starts all of it.
+		 * @throws Exception when an address cannot be used
+		 */
+		void start() throws Exception;
+
+	}
+
 }
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/RoutingModule.java
@@ -0,0 +1,92 @@
+package io.verbenatrack.server;
+
+import java.time.InstantSource;
+import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
+
+import dagger.Module;
+import dagger.Provides;
+import org.eclipse.jetty.client.HttpClient;
+
+import io.verbenatrack.model.AccountDeclaration;
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.Closer;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.routing.RoutingSettings;
+import io.verbenatrack.routing.VersionedTargetDirectory;
+import io.verbenatrack.server.leader.AcceptedDeclarations;
+import io.verbenatrack.server.peer.LeaderGateway;
+import io.verbenatrack.server.peer.PeerChannels;
+import io.verbenatrack.server.routing.RequestLimits;
+import io.verbenatrack.server.routing.RequestRouting;
+import io.verbenatrack.server.routing.RoutingOptions;
+import io.verbenatrack.server.routing.TargetClient;
+import io.verbenatrack.server.target.GatewayClaimStore;
+import io.verbenatrack.server.target.TargetExchange;
+import io.verbenatrack.settings.InstanceSettings;
+import io.verbenatrack.state.RecordCodec;
+
+/**
+ * Provides the routing of requests.
+ */
+@Module
+final class RoutingModule {
+
+	private static final int BUFFERED_BYTES = 256 * 1024;
+
+	private static final int UNDECLARED_WEIGHT = 1;
+
+	private RoutingModule() {
+	}
+
+	@Provides
+	@InstanceScope
+	static VersionedTargetDirectory directory(InstanceSettings settings) {
+		return new VersionedTargetDirectory(settings.instance());
+	}
+
+	@Provides
+	@InstanceScope
+	static TargetExchange exchange(InstanceSettings settings, VersionedTargetDirectory directory, PeerChannels channels,
+			RecordCodec codec, MonotonicClock clock) {
+		return new TargetExchange(settings.instance(), directory, channels, codec, clock);
+	}
+
+	@Provides
+	@InstanceScope
+	static GatewayClaimStore claims(LeaderGateway gateway, InstanceSettings settings) {
+		return new GatewayClaimStore(gateway, settings.instance(),
+				settings.timeouts().requestMaximum().plus(settings.timeouts().answerRetention()));
+	}
+
+	@Provides
+	@InstanceScope
+	static RequestRouting routing(InstanceSettings settings, VersionedTargetDirectory directory,
+			GatewayClaimStore claims, AcceptedDeclarations declarations, InstantSource clock, MonotonicClock monotonic,
+			Closer closer) {
+		HttpClient client = startedClient(closer);
+		RequestLimits limits = new RequestLimits(settings.timeouts().requestMaximum(), BUFFERED_BYTES,
+				settings.limits().requestBodyBytes());
+		return closer.register(RequestRouting.start(new RoutingOptions(settings.instance(), settings.zone(), directory,
+				claims, (account) -> weight(declarations, account), RoutingSettings.STANDARD, limits, client, (use) -> {
+				}, clock, monotonic, new SplittableRandom(ThreadLocalRandom.current().nextLong()))));
+	}
+
+	private static HttpClient startedClient(Closer closer) {
+		HttpClient client = TargetClient.create(null);
+		closer.register(client::stop);
+		try {
+			client.start();
+		}
+		catch (Exception ex) {
+			throw new IllegalStateException("The HTTP client did not start. Check the limits on threads and files.",
+					ex);
+		}
+		return client;
+	}
+
+	private static int weight(AcceptedDeclarations declarations, AccountId account) {
+		return declarations.declarations().account(account).map(AccountDeclaration::weight).orElse(UNDECLARED_WEIGHT);
+	}
+
+}
--- a/server/src/main/java/io/verbenatrack/server/command/EntryCommand.java
+++ b/server/src/main/java/io/verbenatrack/server/command/EntryCommand.java
@@ -137,7 +137,7 @@
 	 * Keeps the answer to a claimed request.
 	 *
 	 * @param request the request
-	 * @param attempt the dispatch that was answered
+	 * @param attempt the dispatch that the claim was for
 	 * @param answer the answer
 	 */
 	record KeepAnswer(RequestSpec request, AttemptId attempt, KeptAnswer answer) implements Replicated {
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/http/TargetRoutes.java
@@ -0,0 +1,117 @@
+package io.verbenatrack.server.http;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.model.Result;
+import io.verbenatrack.model.ServiceId;
+import io.verbenatrack.model.TargetId;
+import io.verbenatrack.model.ZoneId;
+import io.verbenatrack.routing.TargetDelta;
+import io.verbenatrack.routing.TargetSpec;
+import io.verbenatrack.routing.VersionedTargetDirectory;
+import io.verbenatrack.server.command.CommandProblems;
+
+/**
+ * Takes announcements and drains of targets.
+ */
+public final class TargetRoutes {
+
+	private static final int OK = 200;
+
+	private final VersionedTargetDirectory directory;
+
+	private final ApiFormat format;
+
+	private final MonotonicClock clock;
+
+	private final int maximumTargets;
+
+	/**
+	 * Creates the routes.
+	 * @param directory what this instance knows of targets
+	 * @param format reads and writes JSON
+	 * @param clock reads the time
+	 * @param maximumTargets the most targets known at once
+	 */
+	public TargetRoutes(VersionedTargetDirectory directory, ApiFormat format, MonotonicClock clock,
+			int maximumTargets) {
+		this.directory = directory;
+		this.format = format;
+		this.clock = clock;
+		this.maximumTargets = maximumTargets;
+	}
+
+	/**
+	 * The routes.
+	 * @return what this class answers
+	 */
+	public List<ApiRoute> routes() {
+		return List.of(ApiRoute.of("POST", "/v1/targets", (call) -> done(announce(call))),
+				ApiRoute.of("POST", "/v1/targets/{}/drain", (call) -> done(drain(new TargetId(call.variable())))));
+	}
+
+	private static CompletableFuture<ApiAnswer> done(ApiAnswer answer) {
+		return CompletableFuture.completedFuture(answer);
+	}
+
+	private ApiAnswer announce(ApiCall call) {
+		return switch (this.format.read(call.body(), TargetBody.class)) {
+			case Result.Failure<TargetBody> failure -> ApiAnswer.problem(this.format, failure.problem());
+			case Result.Success<TargetBody> success -> announce(success.value());
+		};
+	}
+
+	private ApiAnswer announce(TargetBody body) {
+		TargetSpec spec = body.toSpec();
+		if (isFull(spec.id())) {
+			return ApiAnswer.problem(this.format, new Problem(ProblemKind.OVERLOADED,
+					"This instance knows " + this.maximumTargets + " targets already.", "Raise limits.targets."));
+		}
+		this.directory.announce(spec, body.startedMs(), body.load(), this.clock.nanoTime());
+		return json(new LeaseBody(VersionedTargetDirectory.LEASE.toMillis()));
+	}
+
+	private boolean isFull(TargetId target) {
+		long now = this.clock.nanoTime();
+		return this.directory.all(now).size() >= this.maximumTargets
+				&& this.directory.all(now).stream().noneMatch((known) -> known.spec().id().equals(target));
+	}
+
+	private ApiAnswer drain(TargetId target) {
+		Optional<TargetDelta> delta = this.directory.drain(target, this.clock.nanoTime());
+		return delta.map((known) -> json(new DrainBody("leaving")))
+			.orElseGet(() -> ApiAnswer.problem(this.format, CommandProblems.notFound("target", target)));
+	}
+
+	private ApiAnswer json(Object body) {
+		return new ApiAnswer(OK, ApiAnswer.JSON, this.format.write(body));
+	}
+
+	private record LeaseBody(long leaseMs) {
+
+	}
+
+	private record DrainBody(String state) {
+
+	}
+
+	private record TargetBody(String id, String service, String zone, String url, Integer slots, Integer connections,
+			int load, long startedMs) {
+
+		TargetSpec toSpec() {
+			if (this.url == null || !this.url.startsWith("http")) {
+				throw new IllegalArgumentException(
+						"url is '" + this.url + "'. Give where the target listens, with http://.");
+			}
+			return new TargetSpec(new TargetId(this.id), new ServiceId(this.service), new ZoneId(this.zone), this.url,
+					RequiredField.number("slots", this.slots), RequiredField.number("connections", this.connections));
+		}
+
+	}
+
+}
--- a/server/src/main/java/io/verbenatrack/server/peer/PeerCaller.java
+++ b/server/src/main/java/io/verbenatrack/server/peer/PeerCaller.java
@@ -6,7 +6,6 @@
 
 import com.google.protobuf.ByteString;
 import io.grpc.ManagedChannel;
-import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
 
 import io.verbenatrack.model.InstanceId;
@@ -91,10 +90,7 @@
 
 		@Override
 		public void onError(Throwable failure) {
-			Status status = Status.fromThrowable(failure);
-			if (status.getCode() == Status.Code.DEADLINE_EXCEEDED) {
-				PeerCaller.this.channels.replace(this.instance, this.channel);
-			}
+			PeerCaller.this.channels.replaceIfSilent(this.instance, this.channel, failure);
 			this.result.complete(new Answer.Silent(true));
 		}
 
--- a/server/src/main/java/io/verbenatrack/server/peer/PeerChannels.java
+++ b/server/src/main/java/io/verbenatrack/server/peer/PeerChannels.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.grpc.ManagedChannel;
+import io.grpc.Status;
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
 
 import io.verbenatrack.model.InstanceId;
@@ -66,6 +67,18 @@
 		}
 	}
 
+	/**
+	 * Replaces a channel whose call met its deadline.
+	 * @param instance the instance
+	 * @param channel the channel of the call
+	 * @param failure how the call ended
+	 */
+	public void replaceIfSilent(InstanceId instance, ManagedChannel channel, Throwable failure) {
+		if (Status.fromThrowable(failure).getCode() == Status.Code.DEADLINE_EXCEEDED) {
+			replace(instance, channel);
+		}
+	}
+
 	/**
 	 * The other instances.
 	 * @return their settings
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/peer/PeerListener.java
@@ -0,0 +1,50 @@
+package io.verbenatrack.server.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+import io.grpc.BindableService;
+import io.grpc.Server;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+
+import io.verbenatrack.model.Closer;
+import io.verbenatrack.settings.SocketAddress;
+
+/**
+ * Listens for calls of other instances.
+ */
+public final class PeerListener {
+
+	private final SocketAddress address;
+
+	private final Closer closer;
+
+	private final BindableService[] services;
+
+	/**
+	 * Creates the listener.
+	 * @param address where it listens
+	 * @param closer closes it
+	 * @param services what it serves
+	 */
+	public PeerListener(SocketAddress address, Closer closer, BindableService... services) {
+		this.address = address;
+		this.closer = closer;
+		this.services = services.clone();
+	}
+
+	/**
+	 * Opens the listener.
+	 * @throws IOException when the address cannot be used
+	 */
+	public void open() throws IOException {
+		NettyServerBuilder builder = NettyServerBuilder
+			.forAddress(new InetSocketAddress(this.address.host(), this.address.port()));
+		for (BindableService service : this.services) {
+			builder.addService(service);
+		}
+		Server server = builder.build().start();
+		this.closer.register(server::shutdownNow);
+	}
+
+}
