Join instances: replicas, configuration leases, shared targets, graceful end

Cause: the path ran on one instance; every promise is about several. Change: replicas reach each other over gRPC; each instance acts on a leased configuration and stops admitting without it; targets and slot use spread by confirmed deltas, with a heartbeat that tells which instances are up; shutdown drains before it closes; requests and decisions are counted, timed, traced and logged. Measured: ClusterTests with four instances over loopback: the leader stopped between two batches of ten jobs and all twenty finished; a resend through another instance got the kept answer with one run; an instance without a quorum refused with not-run and /readyz 503. Conclusion: the pieces hold together; the first draft of the drain test counted hedged runs of idempotent requests, so it now uses requests that are not idempotent.

--- a/server/src/main/java/io/verbenatrack/server/ControlModule.java
+++ b/server/src/main/java/io/verbenatrack/server/ControlModule.java
@@ -12,12 +12,13 @@
 
 import dagger.Module;
 import dagger.Provides;
+import io.grpc.BindableService;
 import org.eclipse.jetty.client.HttpClient;
 
-import io.verbenatrack.control.ReplicaPeer;
 import io.verbenatrack.control.ReplicaSettings;
+import io.verbenatrack.control.configuration.ConfigurationAuthority;
 import io.verbenatrack.control.driver.Replica;
-import io.verbenatrack.control.driver.ReplicaTransport;
+import io.verbenatrack.control.link.GrpcReplica;
 import io.verbenatrack.model.Closer;
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.MonotonicClock;
@@ -26,8 +27,8 @@
 import io.verbenatrack.server.command.CommandCodec;
 import io.verbenatrack.server.command.CommandExecutor;
 import io.verbenatrack.server.command.EntryCommand;
+import io.verbenatrack.server.configuration.DeclarationsHolder;
 import io.verbenatrack.server.http.ApiFormat;
-import io.verbenatrack.server.leader.AcceptedDeclarations;
 import io.verbenatrack.server.leader.LeaderDuty;
 import io.verbenatrack.server.leader.LeaderLimits;
 import io.verbenatrack.server.leader.LocalExecutor;
@@ -39,13 +40,15 @@
 import io.verbenatrack.server.peer.PeerChannels;
 import io.verbenatrack.server.peer.PeerListener;
 import io.verbenatrack.server.peer.PeerService;
-import io.verbenatrack.server.target.TargetExchange;
+import io.verbenatrack.server.target.PeerExchange;
 import io.verbenatrack.server.worker.HttpWorkerPort;
 import io.verbenatrack.settings.InstanceSettings;
 import io.verbenatrack.settings.PeerSettings;
 import io.verbenatrack.state.RecordCodec;
 import io.verbenatrack.state.claims.ClaimState;
 import io.verbenatrack.state.configuration.ConfigurationState;
+import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.Metrics;
 
 /**
  * Provides the control log and what it drives.
@@ -73,14 +76,15 @@
 
 	@Provides
 	@InstanceScope
-	static ConfigurationState configuration(AcceptedDeclarations accepted) {
-		return new ConfigurationState(accepted::accept);
+	@Accepted
+	static DeclarationsHolder accepted() {
+		return new DeclarationsHolder();
 	}
 
 	@Provides
 	@InstanceScope
-	static AcceptedDeclarations accepted() {
-		return new AcceptedDeclarations();
+	static ConfigurationState configuration(@Accepted DeclarationsHolder accepted) {
+		return new ConfigurationState((inForce) -> accepted.accept(inForce.revision(), inForce.declarations()));
 	}
 
 	@Provides
@@ -98,16 +102,16 @@
 
 	@Provides
 	@InstanceScope
-	static Optional<Replica> replica(InstanceSettings settings, ControlStateMachine machine, MonotonicClock clock,
-			Closer closer) {
+	static Optional<GrpcReplica> grpcReplica(InstanceSettings settings, ControlStateMachine machine,
+			ConfigurationState configuration, EventLog events, MonotonicClock clock, Closer closer) {
 		return settings.data().map((folder) -> {
-			ReplicaPeer self = new ReplicaPeer(settings.instance(), settings.grpc().host(), settings.grpc().port());
-			List<ReplicaPeer> replicas = new ArrayList<>(List.of(self));
-			settings.peers().stream().filter(PeerSettings::replica).map(ControlModule::peer).forEach(replicas::add);
+			ReplicaSettings replica = new ReplicaSettings(settings.cluster(), ReplicaPeers.self(settings),
+					ReplicaPeers.all(settings), folder);
 			try {
-				return closer.register(Replica.start(new ReplicaSettings(settings.cluster(), self, replicas, folder),
-						machine, ReplicaTransport.none(), (notice, detail) -> {
-						}, clock));
+				return closer.register(GrpcReplica.start(
+						replica, machine, () -> new ConfigurationAuthority.Held(settings.cluster(),
+								configuration.inForce().revision(), configuration.inForce().declarations()),
+						new ReplicaEvents(events), clock));
 			}
 			catch (IOException ex) {
 				throw new UncheckedIOException(ex);
@@ -115,21 +119,23 @@
 		});
 	}
 
-	private static ReplicaPeer peer(PeerSettings peer) {
-		return new ReplicaPeer(peer.instance(), peer.grpc().host(), peer.grpc().port());
+	@Provides
+	static Optional<Replica> replica(Optional<GrpcReplica> replica) {
+		return replica.map(GrpcReplica::replica);
 	}
 
 	@Provides
 	@InstanceScope
 	static Optional<LeaderDuty> leaderDuty(Optional<Replica> replica, JobsState jobs, RecordCodec codec,
 			HttpClient client, ApiFormat format, ScheduledExecutorService timer, InstantSource wallClock,
-			MonotonicClock clock, InstanceSettings settings, AcceptedDeclarations accepted, Closer closer) {
+			MonotonicClock clock, InstanceSettings settings, @Accepted DeclarationsHolder accepted, Metrics metrics,
+			EventLog events, Closer closer) {
 		return replica.map((log) -> {
 			LeaderLimits limits = new LeaderLimits(settings.limits().ringCapacity(), settings.limits().workers(),
 					WORKER_LEASE);
 			HttpWorkerPort workers = new HttpWorkerPort(client, format, WORKER_LEASE);
 			LeaderDuty duty = new LeaderDuty(log, jobs, codec, workers, timer, wallClock, clock, limits,
-					accepted::declarations);
+					accepted::declarations, new DecisionMetrics(metrics, events));
 			accepted.listener((declarations) -> duty.execute(new EntryCommand.AdoptDeclarations(declarations)));
 			return closer.register(duty);
 		});
@@ -164,10 +170,12 @@
 
 	@Provides
 	@InstanceScope
-	static PeerListener peers(InstanceSettings settings, Optional<LocalExecutor> local, CommandCodec codec,
-			TargetExchange targets, Closer closer) {
+	static PeerListener peers(InstanceSettings settings, Optional<LocalExecutor> local, Optional<GrpcReplica> replica,
+			CommandCodec codec, PeerExchange exchange, Closer closer) {
 		CommandExecutor executor = local.map((known) -> (CommandExecutor) known).orElseGet(NoReplica::new);
-		return new PeerListener(settings.grpc(), closer, new PeerService(executor, codec, targets::receive));
+		List<BindableService> services = new ArrayList<>(List.of(new PeerService(executor, codec, exchange::receive)));
+		replica.map(GrpcReplica::service).ifPresent(services::add);
+		return new PeerListener(settings.grpc(), closer, services);
 	}
 
 }
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/DecisionMetrics.java
@@ -0,0 +1,76 @@
+package io.verbenatrack.server;
+
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.JobOutcome;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.LogEvent;
+import io.verbenatrack.telemetry.MetricName;
+import io.verbenatrack.telemetry.Metrics;
+
+/**
+ * Counts and logs the decisions that the leading replica carries out.
+ */
+final class DecisionMetrics implements Consumer<SchedulingDecision> {
+
+	/** The account label of jobs that an earlier leader accepted. */
+	private static final String BEFORE_THIS_LEADER = "unknown";
+
+	private final Metrics metrics;
+
+	private final EventLog events;
+
+	private final Map<JobId, AccountId> accounts = new HashMap<>();
+
+	DecisionMetrics(Metrics metrics, EventLog events) {
+		this.metrics = metrics;
+		this.events = events;
+	}
+
+	@Override
+	public void accept(SchedulingDecision decision) {
+		switch (decision) {
+			case SchedulingDecision.AcceptJob accept -> {
+				this.accounts.put(accept.job().id(), accept.job().account());
+				this.metrics.counter(MetricName.JOBS_SUBMITTED, accept.job().account().value()).increment();
+			}
+			case SchedulingDecision.StartGang start -> this.metrics.counter(MetricName.GANGS_STARTED).increment();
+			case SchedulingDecision.CheckpointGang checkpoint -> {
+				this.metrics.counter(MetricName.GANGS_RECLAIMED).increment();
+				this.events.write(LogEvent.GANG_RECLAIMED, new EventLog.Field("job", checkpoint.job()),
+						new EventLog.Field("reason", checkpoint.reason()));
+			}
+			case SchedulingDecision.EndJob end -> ended(end);
+			case SchedulingDecision.AdmitWorker admit ->
+				this.events.write(LogEvent.WORKER_ANNOUNCED, new EventLog.Field("worker", admit.worker().id()));
+			case SchedulingDecision.RemoveWorker remove ->
+				this.events.write(LogEvent.WORKER_LOST, new EventLog.Field("worker", remove.worker()));
+			case SchedulingDecision.QuarantineWorker quarantine -> this.events.write(LogEvent.WORKER_QUARANTINED,
+					new EventLog.Field("worker", quarantine.worker()), new EventLog.Field("until", quarantine.until()));
+			case SchedulingDecision.ReportShortGuarantee shortage ->
+				this.events.write(LogEvent.GUARANTEE_SHORT, new EventLog.Field("account", shortage.account()),
+						new EventLog.Field("missing", shortage.missing()));
+			default -> {
+				// The other decisions are seen in the views.
+			}
+		}
+	}
+
+	private void ended(SchedulingDecision.EndJob end) {
+		String outcome = end.outcome().getClass().getSimpleName().toLowerCase(Locale.ROOT);
+		AccountId account = this.accounts.remove(end.job());
+		String label = (account != null) ? account.value() : BEFORE_THIS_LEADER;
+		this.metrics.counter(MetricName.JOBS_ENDED, label, outcome).increment();
+		if (end.outcome() instanceof JobOutcome.Refused refused) {
+			this.events.write(LogEvent.JOB_REFUSED, new EventLog.Field("job", end.job()),
+					new EventLog.Field("reason", refused.reason()));
+		}
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/GracefulShutdown.java
@@ -0,0 +1,59 @@
+package io.verbenatrack.server;
+
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.verbenatrack.server.routing.RequestRouting;
+import io.verbenatrack.settings.TimeoutSettings;
+import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.LogEvent;
+
+/**
+ * Ends the service of an instance without cutting what is in flight.
+ *
+ * <p>
+ * Readiness ends first. While the balancer still sends callers, they are served; only
+ * after its delay are new requests refused. What is in flight may finish until the
+ * deadline.
+ */
+final class GracefulShutdown {
+
+	private static final Duration LAST_ANSWERS = Duration.ofSeconds(1);
+
+	private final TimeoutSettings timeouts;
+
+	private final Readiness readiness;
+
+	private final RequestRouting routing;
+
+	private final EventLog events;
+
+	GracefulShutdown(TimeoutSettings timeouts, Readiness readiness, RequestRouting routing, EventLog events) {
+		this.timeouts = timeouts;
+		this.readiness = readiness;
+		this.routing = routing;
+		this.events = events;
+	}
+
+	void run() {
+		this.events.write(LogEvent.INSTANCE_STOPPING);
+		this.readiness.leaving();
+		try {
+			TimeUnit.MILLISECONDS.sleep(this.timeouts.balancerDelay().toMillis());
+			Duration deadline = this.timeouts.shutdownDeadline();
+			this.routing.drain(deadline).get(deadline.plus(LAST_ANSWERS).toMillis(), TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException ex) {
+			this.events.write(LogEvent.SHUTDOWN_DEADLINE_PASSED);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		catch (ExecutionException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
--- a/server/src/main/java/io/verbenatrack/server/HttpModule.java
+++ b/server/src/main/java/io/verbenatrack/server/HttpModule.java
@@ -3,15 +3,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 
 import dagger.Module;
 import dagger.Provides;
 import org.eclipse.jetty.client.HttpClient;
 
+import io.verbenatrack.control.configuration.ConfigurationLease;
+import io.verbenatrack.control.configuration.ConfigurationRenewal;
+import io.verbenatrack.control.driver.Replica;
 import io.verbenatrack.model.Closer;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.routing.VersionedTargetDirectory;
+import io.verbenatrack.server.http.ApiAnswer;
 import io.verbenatrack.server.http.ApiFormat;
 import io.verbenatrack.server.http.ApiHandler;
 import io.verbenatrack.server.http.ApiRoute;
@@ -25,8 +30,11 @@
 import io.verbenatrack.server.peer.LeaderGateway;
 import io.verbenatrack.server.peer.PeerListener;
 import io.verbenatrack.server.routing.RequestRouting;
-import io.verbenatrack.server.target.TargetExchange;
+import io.verbenatrack.server.target.PeerExchange;
 import io.verbenatrack.settings.InstanceSettings;
+import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.Metrics;
+import io.verbenatrack.telemetry.Tracing;
 
 /**
  * Provides the HTTP API.
@@ -39,35 +47,65 @@
 
 	@Provides
 	@InstanceScope
-	static Readiness readiness() {
-		return new Readiness();
+	static Readiness readiness(ConfigurationLease lease) {
+		return new Readiness(lease::obstacle);
 	}
 
 	@Provides
 	@InstanceScope
 	static ApiHandler api(LeaderGateway gateway, ApiFormat format, InstanceSettings settings, Readiness readiness,
-			VersionedTargetDirectory directory, MonotonicClock clock) {
+			VersionedTargetDirectory directory, ConfigurationLease lease, Metrics metrics, MonotonicClock clock) {
 		List<ApiRoute> routes = new ArrayList<>();
-		routes.addAll(new JobRoutes(gateway, format).routes());
+		routes.addAll(new JobRoutes(gateway, format, lease::obstacle).routes());
 		routes.addAll(new WorkerRoutes(gateway, format, settings.limits().reportsPerCall()).routes());
 		routes.addAll(new TargetRoutes(directory, format, clock, settings.limits().targets()).routes());
 		routes.addAll(new DeclarationRoutes(gateway, format).routes());
 		routes.addAll(new ViewRoutes(gateway, format).routes());
+		routes.add(ApiRoute.of("GET", "/metrics",
+				(call) -> CompletableFuture.completedFuture(ApiAnswer.text(200, metrics.scrape()))));
 		routes.addAll(new HealthRoutes(readiness::problem).routes());
 		return new ApiHandler(routes, format, settings.limits().controlBodyBytes());
 	}
 
 	@Provides
 	@InstanceScope
-	static Listeners listeners(InstanceSettings settings, ApiHandler api, RequestRouting routing,
-			Optional<LeaderDuty> duty, HttpClient client, PeerListener peers, TargetExchange targets,
-			ScheduledExecutorService timer, Readiness readiness, Closer closer) {
-		return new Listeners(settings, List.of(routing.handler(), api), closer, () -> {
+	static GracefulShutdown shutdown(InstanceSettings settings, Readiness readiness, RequestRouting routing,
+			EventLog events) {
+		return new GracefulShutdown(settings.timeouts(), readiness, routing, events);
+	}
+
+	@Provides
+	@InstanceScope
+	static MeteredHandler requests(RequestRouting routing, Metrics metrics, Tracing tracing, MonotonicClock clock,
+			VersionedTargetDirectory directory) {
+		return new MeteredHandler(routing.handler(), metrics, tracing, clock,
+				() -> directory.all(clock.nanoTime())
+					.stream()
+					.map((target) -> target.spec().service().value())
+					.distinct()
+					.toList());
+	}
+
+	@Provides
+	@InstanceScope
+	static Duties duties(Optional<LeaderDuty> duty, HttpClient client, PeerListener peers, PeerExchange exchange,
+			ConfigurationRenewal renewal, ScheduledExecutorService timer) {
+		return () -> {
 			client.start();
 			peers.open();
 			duty.ifPresent(LeaderDuty::start);
-			targets.start(timer);
-		}, readiness);
+			renewal.start();
+			exchange.start(timer);
+		};
+	}
+
+	@Provides
+	@InstanceScope
+	static Listeners listeners(InstanceSettings settings, ApiHandler api, MeteredHandler requests, Duties duties,
+			Readiness readiness, Optional<Replica> replica, ConfigurationLease lease, RequestRouting routing,
+			Metrics metrics, EventLog events, Closer closer) {
+		ControlGauges.register(metrics, replica, lease, routing);
+		return new Listeners(settings, List.of(requests, api), closer, duties, readiness, events);
 	}
 
 }
--- a/server/src/main/java/io/verbenatrack/server/Instance.java
+++ b/server/src/main/java/io/verbenatrack/server/Instance.java
@@ -16,7 +16,10 @@
 
 	private final Listeners listeners;
 
-	private Instance(InstanceSettings settings, Closer closer, Listeners listeners) {
+	private final GracefulShutdown shutdown;
+
+	private Instance(InstanceSettings settings, Closer closer, Listeners listeners, GracefulShutdown shutdown) {
+		this.shutdown = shutdown;
 		this.settings = settings;
 		this.closer = closer;
 		this.listeners = listeners;
@@ -31,9 +34,9 @@
 	public static Instance start(InstanceSettings settings) throws Exception {
 		Closer closer = new Closer();
 		try {
-			Listeners listeners = DaggerInstanceComponent.factory().create(settings, closer).listeners();
-			listeners.open();
-			return new Instance(settings, closer, listeners);
+			InstanceComponent graph = DaggerInstanceComponent.factory().create(settings, closer);
+			graph.listeners().open();
+			return new Instance(settings, closer, graph.listeners(), graph.shutdown());
 		}
 		catch (Exception ex) {
 			closer.close();
@@ -49,6 +52,18 @@
 		return URI.create("http://" + this.settings.http().host() + ":" + this.listeners.httpPort());
 	}
 
+	/**
+	 * Stops the service without cutting what is in flight, then closes everything.
+	 * Returns after the balancer delay and the shutdown deadline at the latest.
+	 */
+	public void shutdown() {
+		this.shutdown.run();
+		close();
+	}
+
+	/**
+	 * Closes everything at once.
+	 */
 	@Override
 	public void close() {
 		this.closer.close();
--- a/server/src/main/java/io/verbenatrack/server/InstanceComponent.java
+++ b/server/src/main/java/io/verbenatrack/server/InstanceComponent.java
@@ -10,7 +10,8 @@
  * The object graph of an instance.
  */
 @InstanceScope
-@Component(modules = { PlatformModule.class, ControlModule.class, RoutingModule.class, HttpModule.class })
+@Component(modules = { PlatformModule.class, ControlModule.class, ConfigurationModule.class, RoutingModule.class,
+		HttpModule.class })
 interface InstanceComponent {
 
 	/**
@@ -19,6 +20,12 @@
 	 */
 	Listeners listeners();
 
+	/**
+	 * How the service ends.
+	 * @return the graceful shutdown
+	 */
+	GracefulShutdown shutdown();
+
 	/** Builds the graph. */
 	@Component.Factory
 	interface Factory {
--- a/server/src/main/java/io/verbenatrack/server/Listeners.java
+++ b/server/src/main/java/io/verbenatrack/server/Listeners.java
@@ -9,6 +9,8 @@
 
 import io.verbenatrack.model.Closer;
 import io.verbenatrack.settings.InstanceSettings;
+import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.LogEvent;
 
 /**
  * Opens what an instance listens on, after the duties behind it.
@@ -27,9 +29,13 @@
 
 	private final Readiness readiness;
 
+	private final EventLog events;
+
 	private ServerConnector connector;
 
-	Listeners(InstanceSettings settings, List<Handler> handlers, Closer closer, Duties duties, Readiness readiness) {
+	Listeners(InstanceSettings settings, List<Handler> handlers, Closer closer, Duties duties, Readiness readiness,
+			EventLog events) {
+		this.events = events;
 		this.settings = settings;
 		this.handlers = handlers;
 		this.closer = closer;
@@ -55,21 +61,12 @@
 		this.closer.register(server::stop);
 		server.start();
 		this.readiness.ready();
+		this.events.write(LogEvent.INSTANCE_READY, new EventLog.Field("instance", this.settings.instance()),
+				new EventLog.Field("http", this.connector.getLocalPort()));
 	}
 
 	int httpPort() {
 		return this.connector.getLocalPort();
 	}
 
-	/** What runs behind the listeners. */
-	interface Duties {
-
-		/**
-		 * Starts all of it.
-		 * @throws Exception when an address cannot be used
-		 */
-		void start() throws Exception;
-
-	}
-
 }
--- a/server/src/main/java/io/verbenatrack/server/PlatformModule.java
+++ b/server/src/main/java/io/verbenatrack/server/PlatformModule.java
@@ -12,7 +12,12 @@
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.server.command.CommandCodec;
 import io.verbenatrack.server.http.ApiFormat;
+import io.verbenatrack.settings.InstanceSettings;
 import io.verbenatrack.state.RecordCodec;
+import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.Metrics;
+import io.verbenatrack.telemetry.SystemEventLog;
+import io.verbenatrack.telemetry.Tracing;
 
 /**
  * Provides clocks, threads, codecs and the HTTP client.
@@ -71,4 +76,22 @@
 		return new ApiFormat();
 	}
 
+	@Provides
+	@InstanceScope
+	static EventLog events(InstanceSettings settings, InstantSource wallClock) {
+		return new SystemEventLog(settings.telemetry().logFormat(), wallClock);
+	}
+
+	@Provides
+	@InstanceScope
+	static Metrics metrics(Closer closer) {
+		return closer.register(new Metrics());
+	}
+
+	@Provides
+	@InstanceScope
+	static Tracing tracing(InstanceSettings settings, EventLog events, Closer closer) {
+		return closer.register(Tracing.start(settings.telemetry(), settings.instance(), events));
+	}
+
 }
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/ReplicaEvents.java
@@ -0,0 +1,36 @@
+package io.verbenatrack.server;
+
+import io.verbenatrack.control.driver.ReplicaListener;
+import io.verbenatrack.control.replica.ReplicaNotice;
+import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.LogEvent;
+
+/**
+ * Logs what the replica of this instance tells its operators.
+ */
+final class ReplicaEvents implements ReplicaListener {
+
+	private final EventLog events;
+
+	ReplicaEvents(EventLog events) {
+		this.events = events;
+	}
+
+	@Override
+	public void noticed(ReplicaNotice notice, String detail) {
+		this.events.write(event(notice), new EventLog.Field("detail", detail));
+	}
+
+	private static LogEvent event(ReplicaNotice notice) {
+		return switch (notice) {
+			case FORMED -> LogEvent.CLUSTER_FORMED;
+			case LEADING -> LogEvent.LEADERSHIP_BEGAN;
+			case STEPPED_DOWN -> LogEvent.LEADERSHIP_ENDED;
+			case OTHER_CLUSTER -> LogEvent.OTHER_CLUSTER_HEARD;
+			case REPLACING -> LogEvent.REPLICA_REPLACED;
+			case MEMBERSHIP -> LogEvent.MEMBERSHIP_CHANGED;
+			case DISK_FAILED -> LogEvent.DISK_FAILED;
+		};
+	}
+
+}
--- a/server/src/main/java/io/verbenatrack/server/RoutingModule.java
+++ b/server/src/main/java/io/verbenatrack/server/RoutingModule.java
@@ -8,13 +8,14 @@
 import dagger.Provides;
 import org.eclipse.jetty.client.HttpClient;
 
+import io.verbenatrack.control.configuration.ConfigurationLease;
 import io.verbenatrack.model.AccountDeclaration;
 import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.Closer;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.routing.RoutingSettings;
 import io.verbenatrack.routing.VersionedTargetDirectory;
-import io.verbenatrack.server.leader.AcceptedDeclarations;
+import io.verbenatrack.server.configuration.DeclarationsHolder;
 import io.verbenatrack.server.peer.LeaderGateway;
 import io.verbenatrack.server.peer.PeerChannels;
 import io.verbenatrack.server.routing.RequestLimits;
@@ -22,7 +23,8 @@
 import io.verbenatrack.server.routing.RoutingOptions;
 import io.verbenatrack.server.routing.TargetClient;
 import io.verbenatrack.server.target.GatewayClaimStore;
-import io.verbenatrack.server.target.TargetExchange;
+import io.verbenatrack.server.target.PeerExchange;
+import io.verbenatrack.server.target.SlotBoard;
 import io.verbenatrack.settings.InstanceSettings;
 import io.verbenatrack.state.RecordCodec;
 
@@ -47,9 +49,16 @@
 
 	@Provides
 	@InstanceScope
-	static TargetExchange exchange(InstanceSettings settings, VersionedTargetDirectory directory, PeerChannels channels,
-			RecordCodec codec, MonotonicClock clock) {
-		return new TargetExchange(settings.instance(), directory, channels, codec, clock);
+	static SlotBoard slots() {
+		return new SlotBoard();
+	}
+
+	@Provides
+	@InstanceScope
+	static PeerExchange exchange(InstanceSettings settings, VersionedTargetDirectory directory, SlotBoard slots,
+			RequestRouting routing, PeerChannels channels, RecordCodec codec, MonotonicClock clock) {
+		return new PeerExchange(settings.instance(), directory, slots, routing::slotUseHeard, routing::instancesChanged,
+				channels, codec, clock);
 	}
 
 	@Provides
@@ -62,14 +71,15 @@
 	@Provides
 	@InstanceScope
 	static RequestRouting routing(InstanceSettings settings, VersionedTargetDirectory directory,
-			GatewayClaimStore claims, AcceptedDeclarations declarations, InstantSource clock, MonotonicClock monotonic,
-			Closer closer) {
+			GatewayClaimStore claims, DeclarationsHolder declarations, InstantSource clock, MonotonicClock monotonic,
+			ConfigurationLease lease, SlotBoard slots, Closer closer) {
 		HttpClient client = startedClient(closer);
 		RequestLimits limits = new RequestLimits(settings.timeouts().requestMaximum(), BUFFERED_BYTES,
 				settings.limits().requestBodyBytes());
-		return closer.register(RequestRouting.start(new RoutingOptions(settings.instance(), settings.zone(), directory,
-				claims, (account) -> weight(declarations, account), RoutingSettings.STANDARD, limits, client, (use) -> {
-				}, clock, monotonic, new SplittableRandom(ThreadLocalRandom.current().nextLong()))));
+		return closer
+			.register(RequestRouting.start(new RoutingOptions(settings.instance(), settings.zone(), directory, claims,
+					(account) -> weight(declarations, account), RoutingSettings.STANDARD, limits, client, slots::put,
+					clock, monotonic, new SplittableRandom(ThreadLocalRandom.current().nextLong()), lease::obstacle)));
 	}
 
 	private static HttpClient startedClient(Closer closer) {
@@ -85,7 +95,7 @@
 		return client;
 	}
 
-	private static int weight(AcceptedDeclarations declarations, AccountId account) {
+	private static int weight(DeclarationsHolder declarations, AccountId account) {
 		return declarations.declarations().account(account).map(AccountDeclaration::weight).orElse(UNDECLARED_WEIGHT);
 	}
 
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/configuration/EncodedDeclarations.java
@@ -0,0 +1,34 @@
+package io.verbenatrack.server.configuration;
+
+import com.google.protobuf.ByteString;
+
+import io.verbenatrack.model.Declarations;
+import io.verbenatrack.model.Result;
+import io.verbenatrack.settings.DeclarationsJson;
+
+/**
+ * Reads declarations as the control log carries them.
+ */
+public final class EncodedDeclarations {
+
+	private EncodedDeclarations() {
+	}
+
+	/**
+	 * Reads declarations.
+	 * @param bytes the encoded declarations, empty before the first change
+	 * @return the declarations
+	 * @throws IllegalStateException when a newer version wrote them
+	 */
+	public static Declarations read(ByteString bytes) {
+		if (bytes.isEmpty()) {
+			return Declarations.EMPTY;
+		}
+		return switch (DeclarationsJson.read(bytes.toByteArray())) {
+			case Result.Success<Declarations> success -> success.value();
+			case Result.Failure<Declarations> failure -> throw new IllegalStateException(
+					"The accepted declarations cannot be read: " + failure.problem() + " Upgrade this instance.");
+		};
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/configuration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The configuration that an instance acts on.
+ */
+package io.verbenatrack.server.configuration;
--- a/server/src/main/java/io/verbenatrack/server/http/JobRoutes.java
+++ b/server/src/main/java/io/verbenatrack/server/http/JobRoutes.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 
@@ -12,6 +13,7 @@
 import io.verbenatrack.model.GangShape;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.JobSpec;
+import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.Result;
 import io.verbenatrack.model.Urgency;
 import io.verbenatrack.server.command.CommandExecutor;
@@ -31,12 +33,16 @@
 
 	private final ReplyAnswers answers;
 
+	private final Supplier<Optional<Problem>> obstacle;
+
 	/**
 	 * Creates the routes.
 	 * @param executor reaches the leading replica
 	 * @param format reads and writes JSON
+	 * @param obstacle why no new job may be admitted, or empty when it may
 	 */
-	public JobRoutes(CommandExecutor executor, ApiFormat format) {
+	public JobRoutes(CommandExecutor executor, ApiFormat format, Supplier<Optional<Problem>> obstacle) {
+		this.obstacle = obstacle;
 		this.executor = executor;
 		this.format = format;
 		this.answers = new ReplyAnswers(format);
@@ -61,6 +67,10 @@
 	}
 
 	private CompletableFuture<ApiAnswer> submit(ApiCall call) {
+		Optional<Problem> stopped = this.obstacle.get();
+		if (stopped.isPresent()) {
+			return CompletableFuture.completedFuture(ApiAnswer.problem(this.format, stopped.get()));
+		}
 		return switch (this.format.read(call.body(), JobBody.class)) {
 			case Result.Failure<JobBody> failure ->
 				CompletableFuture.completedFuture(ApiAnswer.problem(this.format, failure.problem()));
--- a/server/src/main/java/io/verbenatrack/server/leader/LeaderDuty.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/LeaderDuty.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.verbenatrack.control.Proposal;
@@ -65,6 +66,8 @@
 
 	private final Supplier<Declarations> accepted;
 
+	private final Consumer<SchedulingDecision> observer;
+
 	private final Queue<Queued> commands;
 
 	private final Queue<Finished> finished = new ArrayBlockingQueue<>(2 * MAXIMUM_BATCHES_IN_FLIGHT);
@@ -100,10 +103,12 @@
 	 * @param clock times leases
 	 * @param limits sizes and durations
 	 * @param accepted the declarations that a quorum accepted
+	 * @param observer hears each decision that is carried out
 	 */
 	public LeaderDuty(ReplicatedLog log, JobsState jobs, RecordCodec codec, WorkerPort workers,
 			ScheduledExecutorService timer, InstantSource wallClock, MonotonicClock clock, LeaderLimits limits,
-			Supplier<Declarations> accepted) {
+			Supplier<Declarations> accepted, Consumer<SchedulingDecision> observer) {
+		this.observer = observer;
 		this.log = log;
 		this.accepted = accepted;
 		this.jobs = jobs;
@@ -310,6 +315,7 @@
 	}
 
 	private void carryOut(SchedulingDecision decision) {
+		this.observer.accept(decision);
 		this.actions.after(decision).forEach(this.dispatcher::send);
 	}
 
--- a/server/src/main/java/io/verbenatrack/server/leader/ReplicatedCommands.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/ReplicatedCommands.java
@@ -8,14 +8,13 @@
 import io.verbenatrack.control.Proposal;
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.model.ChangeId;
-import io.verbenatrack.model.Declarations;
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
-import io.verbenatrack.model.Result;
 import io.verbenatrack.routing.KeptAnswer;
 import io.verbenatrack.server.command.CommandProblems;
 import io.verbenatrack.server.command.EntryCommand;
 import io.verbenatrack.server.command.EntryReply;
+import io.verbenatrack.server.configuration.EncodedDeclarations;
 import io.verbenatrack.server.log.CommandKind;
 import io.verbenatrack.settings.DeclarationsJson;
 import io.verbenatrack.state.RecordCodec;
@@ -99,26 +98,11 @@
 				return new EntryReply.NotLeading(this.log.leader());
 			}
 			ConfigurationInForce inForce = this.configuration.inForce();
-			return new EntryReply.DeclarationsInForce(inForce.revision(), read(inForce));
+			return new EntryReply.DeclarationsInForce(inForce.revision(),
+					EncodedDeclarations.read(inForce.declarations()));
 		});
 	}
 
-	/**
-	 * Reads accepted declarations.
-	 * @param inForce what was accepted
-	 * @return the declarations, empty before the first change
-	 */
-	public static Declarations read(ConfigurationInForce inForce) {
-		if (inForce.declarations().isEmpty()) {
-			return Declarations.EMPTY;
-		}
-		return switch (DeclarationsJson.read(inForce.declarations().toByteArray())) {
-			case Result.Success<Declarations> success -> success.value();
-			case Result.Failure<Declarations> failure -> throw new IllegalStateException(
-					"The accepted declarations cannot be read: " + failure.problem() + " Upgrade this instance.");
-		};
-	}
-
 	private CompletableFuture<EntryReply> claim(EntryCommand.ClaimRequest claim) {
 		byte[] command = ClaimCodec.claim(claim.request().id(), claim.request().account(), claim.bodyDigest(),
 				claim.entry(), claim.attempt(), this.wallClock.instant().plus(claim.retention()));
--- a/server/src/main/java/io/verbenatrack/server/peer/PeerListener.java
+++ b/server/src/main/java/io/verbenatrack/server/peer/PeerListener.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 
 import io.grpc.BindableService;
 import io.grpc.Server;
@@ -19,7 +20,7 @@
 
 	private final Closer closer;
 
-	private final BindableService[] services;
+	private final List<BindableService> services;
 
 	/**
 	 * Creates the listener.
@@ -27,10 +28,10 @@
 	 * @param closer closes it
 	 * @param services what it serves
 	 */
-	public PeerListener(SocketAddress address, Closer closer, BindableService... services) {
+	public PeerListener(SocketAddress address, Closer closer, List<BindableService> services) {
 		this.address = address;
 		this.closer = closer;
-		this.services = services.clone();
+		this.services = List.copyOf(services);
 	}
 
 	/**
--- a/server/src/main/java/io/verbenatrack/server/routing/RequestRouting.java
+++ b/server/src/main/java/io/verbenatrack/server/routing/RequestRouting.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -123,8 +124,13 @@
 	}
 
 	void accept(CallerExchange caller) {
-		ExchangeId id = new ExchangeId(this.nextExchange.getAndIncrement());
 		CallerRequest asked = caller.asked();
+		Optional<Problem> obstacle = this.options.obstacle().get();
+		if (obstacle.isPresent()) {
+			caller.tell(notTaken(asked, obstacle.get()));
+			return;
+		}
+		ExchangeId id = new ExchangeId(this.nextExchange.getAndIncrement());
 		this.callers.put(id, caller);
 		caller.request().addFailureListener((failure) -> this.loop.put(new RoutingEvent.CallerGone(id)));
 		boolean offered = this.loop.offer(new RoutingEvent.Accepted(id, asked.spec(), asked.digest(),
@@ -136,9 +142,13 @@
 	}
 
 	private static RequestOutcome<Void> ringFull(CallerRequest asked) {
+		return notTaken(asked, new Problem(ProblemKind.OVERLOADED, "This instance has too many new requests.",
+				"Send it again later; it did not run."));
+	}
+
+	private static RequestOutcome<Void> notTaken(CallerRequest asked, Problem problem) {
 		if (asked.spec().idempotent() || asked.firstSend()) {
-			return new RequestOutcome.NotRun<>(new Problem(ProblemKind.OVERLOADED,
-					"This instance has too many new requests.", "Send it again later; it did not run."));
+			return new RequestOutcome.NotRun<>(problem);
 		}
 		return new RequestOutcome.Unknown<>(new Problem(ProblemKind.UNKNOWN_OUTCOME,
 				"This send was not dispatched, and an earlier one may have run.",
--- a/server/src/main/java/io/verbenatrack/server/routing/RoutingOptions.java
+++ b/server/src/main/java/io/verbenatrack/server/routing/RoutingOptions.java
@@ -1,13 +1,16 @@
 package io.verbenatrack.server.routing;
 
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.eclipse.jetty.client.HttpClient;
 
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ZoneId;
 import io.verbenatrack.routing.AccountWeights;
 import io.verbenatrack.routing.ClaimStore;
@@ -30,9 +33,11 @@
  * @param clock the time of day
  * @param monotonic the monotonic time
  * @param random the source of chance, different at each start
+ * @param obstacle why no new request may be admitted, or empty when it may
  */
 public record RoutingOptions(InstanceId self, ZoneId zone, TargetDirectory directory, ClaimStore claims,
 		AccountWeights weights, RoutingSettings settings, RequestLimits limits, HttpClient client,
-		Consumer<SlotUse> slotUses, InstantSource clock, MonotonicClock monotonic, RandomGenerator random) {
+		Consumer<SlotUse> slotUses, InstantSource clock, MonotonicClock monotonic, RandomGenerator random,
+		Supplier<Optional<Problem>> obstacle) {
 
 }
--- /dev/null
+++ b/server/src/test/java/io/verbenatrack/server/ClusterTests.java
@@ -0,0 +1,146 @@
+package io.verbenatrack.server;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import org.awaitility.Awaitility;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests several instances together over loopback.
+ */
+public class ClusterTests {
+
+	/** The last instance has no data folder. */
+	private static final int ENTRY = 3;
+
+	private static final int INSTANCES = 4;
+
+	private static final String LEADS = "verbenatrack_control_leader 1.0";
+
+	private ClusterFixture cluster;
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.cluster = new ClusterFixture(INSTANCES);
+	}
+
+	@AfterMethod
+	public void stop() {
+		this.cluster.close();
+	}
+
+	@Test
+	public void jobsSubmittedBeforeAndAfterTheLeaderStopsAllFinish() throws Exception {
+		this.cluster.addWorkers(2);
+		for (int i = 0; i < 10; i++) {
+			assertThat(this.cluster.submit(ENTRY, "before-" + i, 1 + i % 8)).isEqualTo(202);
+		}
+		this.cluster.stop(leader());
+		for (int i = 0; i < 10; i++) {
+			String job = "after-" + i;
+			Awaitility.await().atMost(ClusterFixture.PATIENCE).until(() -> this.cluster.submit(ENTRY, job, 16) == 202);
+		}
+		for (int i = 0; i < 10; i++) {
+			finishes("before-" + i);
+			finishes("after-" + i);
+		}
+	}
+
+	@Test
+	public void resendThroughAnotherInstanceGetsTheKeptAnswer() throws Exception {
+		this.cluster.addTargets(3);
+		Awaitility.await()
+			.atMost(ClusterFixture.PATIENCE)
+			.until(() -> this.cluster.ask(ENTRY, "warm-up", true).statusCode() == 200);
+		HttpResponse<String> first = this.cluster.ask(ENTRY, "certificate-1", false);
+		Awaitility.await()
+			.atMost(ClusterFixture.PATIENCE)
+			.until(() -> this.cluster.ask(0, "warm-up-2", true).statusCode() == 200);
+		HttpResponse<String> second = this.cluster.ask(0, "certificate-1", false);
+		assertThat(first.statusCode()).isEqualTo(200);
+		assertThat(second.body()).isEqualTo(first.body());
+		assertThat(this.cluster.runs("certificate-1")).isEqualTo(1);
+	}
+
+	@Test
+	public void gracefulShutdownCutsNothingInFlight() throws Exception {
+		this.cluster.addTargets(3);
+		Awaitility.await()
+			.atMost(ClusterFixture.PATIENCE)
+			.until(() -> this.cluster.ask(ENTRY, "warm-up", true).statusCode() == 200);
+		try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+			List<CompletableFuture<Integer>> answers = new ArrayList<>();
+			for (int i = 0; i < 8; i++) {
+				String id = "slow-" + i;
+				answers.add(CompletableFuture.supplyAsync(() -> statusOf(id), callers));
+			}
+			Awaitility.await()
+				.atMost(ClusterFixture.PATIENCE)
+				.until(() -> answers.stream().noneMatch(CompletableFuture::isDone) && runsOfSlow() == 8);
+			this.cluster.shutdown(ENTRY);
+			assertThat(answers).allSatisfy((answer) -> assertThat(answer.join()).isEqualTo(200));
+		}
+	}
+
+	private int runsOfSlow() {
+		int runs = 0;
+		for (int i = 0; i < 8; i++) {
+			runs += this.cluster.runs("slow-" + i);
+		}
+		return runs;
+	}
+
+	private int statusOf(String id) {
+		try {
+			return this.cluster.ask(ENTRY, id, false).statusCode();
+		}
+		catch (Exception ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	@Test
+	public void instanceWithoutAQuorumStopsAdmittingAndSaysSo() throws Exception {
+		this.cluster.addTargets(3);
+		Awaitility.await()
+			.atMost(ClusterFixture.PATIENCE)
+			.until(() -> this.cluster.ask(ENTRY, "warm-up", true).statusCode() == 200);
+		int leader = leader();
+		this.cluster.stop(leader);
+		this.cluster.stop((leader + 1) % ENTRY);
+		Awaitility.await().atMost(ClusterFixture.PATIENCE).until(() -> this.cluster.status(ENTRY, "/readyz") == 503);
+		HttpResponse<String> refused = this.cluster.ask(ENTRY, "late", true);
+		assertThat(refused.headers().firstValue("Verbenatrack-Outcome")).contains("not-run");
+		assertThat(this.cluster.runs("late")).isZero();
+	}
+
+	private int leader() throws Exception {
+		Awaitility.await().atMost(ClusterFixture.PATIENCE).until(() -> findLeader() >= 0);
+		return findLeader();
+	}
+
+	private int findLeader() throws Exception {
+		for (int number = 0; number < ENTRY; number++) {
+			if (this.cluster.get(number, "/metrics").contains(LEADS)) {
+				return number;
+			}
+		}
+		return -1;
+	}
+
+	private void finishes(String job) {
+		Awaitility.await()
+			.atMost(ClusterFixture.PATIENCE)
+			.untilAsserted(() -> assertThat(this.cluster.job(ENTRY, job)).contains("\"outcome\":\"finished\""));
+	}
+
+}
--- a/server/src/test/java/io/verbenatrack/server/routing/RoutingFixture.java
+++ b/server/src/test/java/io/verbenatrack/server/routing/RoutingFixture.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -61,7 +62,7 @@
 		targetClient.start();
 		this.routing = this.closer.register(RequestRouting.start(new RoutingOptions(SELF, new ZoneId("shah-alam"),
 				this.directory, claims, (account) -> 1, settings, RequestLimits.STANDARD, targetClient, (use) -> {
-				}, InstantSource.system(), MonotonicClock.system(), new SplittableRandom(SEED))));
+				}, InstantSource.system(), MonotonicClock.system(), new SplittableRandom(SEED), Optional::empty)));
 		Server server = new Server();
 		ServerConnector connector = new ServerConnector(server, 1, 1);
 		connector.setHost("127.0.0.1");
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -70,6 +70,48 @@
 	TRACE_SPAN(1900, System.Logger.Level.INFO, "A span ended.",
 			"Nothing to do; set telemetry.traces to none to silence it."),
 
+	/** The replicas agreed to form a new cluster. */
+	CLUSTER_FORMED(2001, System.Logger.Level.INFO, "The control replicas formed a new cluster.", "Nothing to do."),
+
+	/** This replica leads from now on. */
+	LEADERSHIP_BEGAN(2002, System.Logger.Level.INFO, "This replica leads the control log.", "Nothing to do."),
+
+	/** This replica no longer leads. */
+	LEADERSHIP_ENDED(2003, System.Logger.Level.INFO, "This replica no longer leads the control log.",
+			"Nothing to do; if it repeats, check the links between the replicas."),
+
+	/** A message of another cluster arrived. */
+	OTHER_CLUSTER_HEARD(2004, System.Logger.Level.ERROR, "A message of another cluster arrived and was dropped.",
+			"Correct the peers in the settings, or move the foreign data folder away."),
+
+	/** A replica that lost its disk is being replaced. */
+	REPLICA_REPLACED(2005, System.Logger.Level.WARNING,
+			"A replica that lost its disk is being replaced by its new incarnation.",
+			"Nothing to do; check the disk of that instance."),
+
+	/** A membership took effect. */
+	MEMBERSHIP_CHANGED(2006, System.Logger.Level.INFO, "A membership of the control log took effect.",
+			"Nothing to do."),
+
+	/** The disk of the control log failed. */
+	DISK_FAILED(2007, System.Logger.Level.ERROR, "The disk of the control log failed, so this replica stepped down.",
+			"Free or replace the disk, then restart the instance."),
+
+	/** A gang that borrowed accelerators is stopped to make room. */
+	GANG_RECLAIMED(3001, System.Logger.Level.INFO, "A gang saves its progress and stops to make room.",
+			"Nothing to do; it waits again."),
+
+	/** A worker failed too much. */
+	WORKER_QUARANTINED(3002, System.Logger.Level.WARNING, "A worker failed too much and gets no work for a while.",
+			"Check the worker."),
+
+	/** The fleet does not cover a guarantee. */
+	GUARANTEE_SHORT(3003, System.Logger.Level.WARNING, "The fleet does not cover all guarantees of an account.",
+			"Bring workers back, or lower a guarantee. An empty list ends the shortage."),
+
+	/** A job was refused for good. */
+	JOB_REFUSED(3004, System.Logger.Level.INFO, "A job was refused for good.", "See the reason."),
+
 	/** A local run started its instance and stand-ins. */
 	EXAMPLE_STARTED(5001, System.Logger.Level.INFO, "The local example started.", "Nothing to do.");
 
