--- a/cli/src/main/java/io/verbenatrack/cli/JsonText.java
+++ b/cli/src/main/java/io/verbenatrack/cli/JsonText.java
@@ -31,7 +31,7 @@
 			appendObject(text, node, "");
 		}
 		else {
-			text.append(inline(node)).append('\n');
+			text.append(inline(node).strip()).append('\n');
 		}
 		return text.toString();
 	}
--- a/settings/src/main/java/io/verbenatrack/settings/TimeoutSettingsReader.java
+++ b/settings/src/main/java/io/verbenatrack/settings/TimeoutSettingsReader.java
@@ -1,12 +1,18 @@
 package io.verbenatrack.settings;
 
 import java.time.Duration;
+import java.util.List;
 
 /**
  * Reads how long an instance waits.
  */
 final class TimeoutSettingsReader {
 
+	/** The keys of the timeouts, in kebab case. */
+	static final List<String> KEYS = List.of("configuration-lease", "heartbeat", "election", "target-lease", "connect",
+			"probe", "request-default", "request-maximum", "answer-retention", "http-idle", "balancer-delay",
+			"shutdown-deadline");
+
 	private static final Duration MILLISECOND = Duration.ofMillis(1);
 
 	private static final Duration MINUTE = Duration.ofMinutes(1);
@@ -17,9 +23,7 @@
 	}
 
 	static TimeoutSettings read(MappingReader reader) {
-		reader.allow("configuration-lease", "heartbeat", "election", "target-lease", "connect", "probe",
-				"request-default", "request-maximum", "answer-retention", "http-idle", "balancer-delay",
-				"shutdown-deadline");
+		reader.allow(KEYS.toArray(String[]::new));
 		return new TimeoutSettings(upToAMinute(reader, "configuration-lease", Duration.ofSeconds(5)),
 				upToAMinute(reader, "heartbeat", Duration.ofMillis(500)),
 				upToAMinute(reader, "election", Duration.ofMillis(1500)),
