--- a/cli/src/main/java/io/verbenatrack/cli/Command.java
+++ b/cli/src/main/java/io/verbenatrack/cli/Command.java
@@ -8,8 +8,8 @@
 /**
  * One command of the command line.
  */
-sealed interface Command permits ServeCommand, CheckCommand, DiffCommand, ApplyCommand, SubmitCommand, CancelCommand,
-		StatusCommand, ViewCommand, BenchCommand {
+sealed interface Command permits LocalRunCommand, ServeCommand, CheckCommand, DiffCommand, ApplyCommand, SubmitCommand,
+		CancelCommand, StatusCommand, ViewCommand, BenchCommand {
 
 	/**
 	 * The word that selects the command.
--- a/cli/src/main/java/io/verbenatrack/cli/Commands.java
+++ b/cli/src/main/java/io/verbenatrack/cli/Commands.java
@@ -9,9 +9,9 @@
 final class Commands {
 
 	/** The commands, in the order of the help. */
-	static final List<Command> ALL = List.of(new ServeCommand(), new CheckCommand(), new DiffCommand(),
-			new ApplyCommand(), new SubmitCommand(), new CancelCommand(), new StatusCommand(), new ViewCommand(),
-			new BenchCommand());
+	static final List<Command> ALL = List.of(new LocalRunCommand(), new ServeCommand(), new CheckCommand(),
+			new DiffCommand(), new ApplyCommand(), new SubmitCommand(), new CancelCommand(), new StatusCommand(),
+			new ViewCommand(), new BenchCommand());
 
 	private Commands() {
 	}
--- a/cli/src/main/java/io/verbenatrack/cli/HelpText.java
+++ b/cli/src/main/java/io/verbenatrack/cli/HelpText.java
@@ -26,7 +26,7 @@
 			.append("  --help     shows the options and examples of a command\n")
 			.append("  --version  shows the version\n\n")
 			.append("Exit codes: 0 done, 2 usage or settings, 3 refused, 4 no instance reached, 5 outcome unknown.\n")
-			.append("\nExample:\n  verbenatrack check --settings examples/hamid/instance.yaml\n")
+			.append("\nExample:\n  verbenatrack local --settings examples/hamid/instance.yaml --work examples/hamid/night.yaml\n")
 			.toString();
 	}
 
