--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/process/FailureCaller.java
@@ -0,0 +1,130 @@
+package io.verbenatrack.bench.process;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http.HttpMethod;
+
+/**
+ * Sends requests and jobs as a caller does who tries another instance when one fails.
+ */
+final class FailureCaller {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(4);
+
+	private static final Duration PATIENCE = Duration.ofSeconds(25);
+
+	private static final long PAUSE_MILLIS = 50;
+
+	private static final int ACCEPTED = 202;
+
+	private final HttpClient client;
+
+	private final List<URI> entries;
+
+	private final SplittableRandom random;
+
+	FailureCaller(HttpClient client, List<URI> entries, long seed) {
+		this.client = client;
+		this.entries = entries;
+		this.random = new SplittableRandom(seed);
+	}
+
+	ToldOutcome ask(String id, boolean idempotent) throws InterruptedException {
+		long limit = System.nanoTime() + PATIENCE.toNanos();
+		ToldOutcome last = new ToldOutcome(id, idempotent, ToldOutcome.UNKNOWN, "");
+		boolean first = true;
+		while (System.nanoTime() < limit && !last.outcome().equals(ToldOutcome.ANSWERED)) {
+			ToldOutcome told = send(id, idempotent, first);
+			first = false;
+			// A true not-run says nothing of an earlier send whose answer was lost.
+			boolean wasLost = last.outcome().equals(ToldOutcome.UNKNOWN) && last.body().equals("lost");
+			last = (wasLost && told.outcome().equals(ToldOutcome.NOT_RUN)) ? last : told;
+			if (!told.outcome().equals(ToldOutcome.ANSWERED)) {
+				TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+			}
+		}
+		return last;
+	}
+
+	private ToldOutcome send(String id, boolean idempotent, boolean first) throws InterruptedException {
+		Request request = this.client.newRequest(entry().resolve("/v1/requests/jalan"))
+			.method(HttpMethod.POST)
+			.timeout(TIMEOUT.plusSeconds(1).toMillis(), TimeUnit.MILLISECONDS)
+			.headers((headers) -> headers.put("Verbenatrack-Request-Id", id)
+				.put("Verbenatrack-Account", "a")
+				.put("Verbenatrack-Idempotent", String.valueOf(idempotent))
+				.put("Verbenatrack-First-Send", String.valueOf(first))
+				.put("Verbenatrack-Timeout-Ms", TIMEOUT.toMillis()))
+			.body(new StringRequestContent("plan"));
+		try {
+			ContentResponse answer = request.send();
+			String outcome = answer.getHeaders().get("Verbenatrack-Outcome");
+			return new ToldOutcome(id, idempotent, (outcome != null) ? outcome : ToldOutcome.NOT_RUN,
+					answer.getContentAsString());
+		}
+		catch (TimeoutException | ExecutionException ex) {
+			return new ToldOutcome(id, idempotent, ToldOutcome.UNKNOWN, "lost");
+		}
+	}
+
+	boolean submit(String id, int accelerators) throws InterruptedException {
+		String body = "{\"id\": \"" + id + "\", \"account\": \"a\", \"class\": \"c\", \"accelerators\": " + accelerators
+				+ ", \"coresPerAccelerator\": 1, \"memoryGibPerAccelerator\": 1, \"runTime\": \"300ms\", "
+				+ "\"checkpointable\": true}";
+		long limit = System.nanoTime() + PATIENCE.toNanos();
+		while (System.nanoTime() < limit) {
+			if (status(HttpMethod.POST, "/v1/jobs", body) == ACCEPTED) {
+				return true;
+			}
+			TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+		}
+		return false;
+	}
+
+	boolean hasOutcome(String job) throws InterruptedException {
+		try {
+			return this.client.newRequest(entry().resolve("/v1/jobs/" + job))
+				.timeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+				.send()
+				.getContentAsString()
+				.contains("\"outcome\":\"finished\"");
+		}
+		catch (TimeoutException | ExecutionException ex) {
+			return false;
+		}
+	}
+
+	int declare() throws InterruptedException {
+		return status(HttpMethod.PUT, "/v1/declarations?expectedRevision=0&changeId=process-test",
+				"{\"accounts\": [{\"id\": \"a\", \"weight\": 1, \"degradeOrder\": 0, \"guarantees\": []}]}");
+	}
+
+	private int status(HttpMethod method, String path, String body) throws InterruptedException {
+		try {
+			return this.client.newRequest(entry().resolve(path))
+				.method(method)
+				.timeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+				.body(new StringRequestContent("application/json", body))
+				.send()
+				.getStatus();
+		}
+		catch (TimeoutException | ExecutionException ex) {
+			return 0;
+		}
+	}
+
+	private synchronized URI entry() {
+		return this.entries.get(this.random.nextInt(this.entries.size()));
+	}
+
+}
