Commit the exchange between instances, whose folder was ignored by git

Cause: the package was called target, which .gitignore left out, so main did not compile from a fresh clone.

--- a/server/src/main/java/io/verbenatrack/server/RoutingModule.java
+++ b/server/src/main/java/io/verbenatrack/server/RoutingModule.java
@@ -16,15 +16,15 @@
 import io.verbenatrack.routing.RoutingSettings;
 import io.verbenatrack.routing.VersionedTargetDirectory;
 import io.verbenatrack.server.configuration.DeclarationsHolder;
+import io.verbenatrack.server.exchange.GatewayClaimStore;
+import io.verbenatrack.server.exchange.PeerExchange;
+import io.verbenatrack.server.exchange.SlotBoard;
 import io.verbenatrack.server.peer.LeaderGateway;
 import io.verbenatrack.server.peer.PeerChannels;
 import io.verbenatrack.server.routing.RequestLimits;
 import io.verbenatrack.server.routing.RequestRouting;
 import io.verbenatrack.server.routing.RoutingOptions;
 import io.verbenatrack.server.routing.TargetClient;
-import io.verbenatrack.server.target.GatewayClaimStore;
-import io.verbenatrack.server.target.PeerExchange;
-import io.verbenatrack.server.target.SlotBoard;
 import io.verbenatrack.settings.InstanceSettings;
 import io.verbenatrack.state.RecordCodec;
 
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/exchange/SlotBoard.java
@@ -0,0 +1,29 @@
+package io.verbenatrack.server.exchange;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.verbenatrack.model.TargetId;
+import io.verbenatrack.routing.SlotUse;
+
+/**
+ * Holds the newest use of each target's slots that this instance has to tell.
+ */
+public final class SlotBoard {
+
+	private final Map<TargetId, SlotUse> newest = new ConcurrentHashMap<>();
+
+	/**
+	 * Takes a newer use.
+	 * @param use the use of one target
+	 */
+	public void put(SlotUse use) {
+		this.newest.put(use.target(), use);
+	}
+
+	List<SlotUse> all() {
+		return List.copyOf(this.newest.values());
+	}
+
+}
