Search each shape once in a pass of EASY backfill

Change: one copy beside the reservation for a pass, and each gang shape that does not fit is tried once.

--- a/bench/src/main/java/io/verbenatrack/bench/scheduling/FigureCollector.java
+++ b/bench/src/main/java/io/verbenatrack/bench/scheduling/FigureCollector.java
@@ -114,11 +114,11 @@
 	}
 
 	void sample(long nowMs) {
-		this.mostHeld = Math.max(this.mostHeld, this.fleet.held());
 		if (nowMs < this.lastSampleMs + SAMPLE_INTERVAL_MS || nowMs > this.plan.spanMs()) {
 			return;
 		}
 		this.lastSampleMs = nowMs;
+		this.mostHeld = Math.max(this.mostHeld, this.fleet.held());
 		int largest = this.runs.values()
 			.stream()
 			.filter((run) -> run.waiting() && this.entitlement.guaranteed(run))
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/baseline/EasyBackfillScheduler.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/baseline/EasyBackfillScheduler.java
@@ -41,41 +41,23 @@
 	}
 
 	private void placeWaiting(Instant now, DecisionLog log) {
-		FreeSpace free = new FreeSpace(state().fleet());
-		Set<GangShape> unplaceable = new HashSet<>();
-		Optional<Reservation> head = Optional.empty();
+		if (state().jobs().waiting().isEmpty()) {
+			return;
+		}
+		Pass pass = new Pass(new FreeSpace(state().fleet()));
 		for (JobRecord job : List.copyOf(state().jobs().waiting())) {
 			GangShape shape = job.spec().shape();
-			boolean tried = unplaceable.contains(shape);
-			Optional<GangPlacement> place = tried ? Optional.empty() : place(job, free, head, now);
+			Optional<GangPlacement> place = pass.place(shape, expectedEnd(job, now));
 			place.ifPresent((found) -> {
-				free.take(shape, found);
+				pass.take(shape, found);
 				log.add(new SchedulingDecision.PlaceGang(job.id(), state().nextToken(), found, now));
 			});
-			if (place.isEmpty() && head.isEmpty()) {
-				head = reserve(shape, now);
-			}
-			if (place.isEmpty() && free.bestFit(shape).isEmpty()) {
-				unplaceable.add(shape);
+			if (place.isEmpty() && pass.reservation == null) {
+				reserve(shape, now).ifPresent(pass::reserve);
 			}
 		}
 	}
 
-	private Optional<GangPlacement> place(JobRecord job, FreeSpace free, Optional<Reservation> head, Instant now) {
-		GangShape shape = job.spec().shape();
-		if (head.isEmpty() || !expectedEnd(job, now).isAfter(head.get().at())) {
-			return free.bestFit(shape);
-		}
-		return beside(head.get(), free, shape);
-	}
-
-	// Places a job that outlasts the reservation on accelerators outside of it.
-	private static Optional<GangPlacement> beside(Reservation head, FreeSpace free, GangShape shape) {
-		FreeSpace rest = free.copy();
-		rest.take(head.shape(), head.placement());
-		return rest.bestFit(shape);
-	}
-
 	// The place that is free first when running jobs end as they declared.
 	private Optional<Reservation> reserve(GangShape shape, Instant now) {
 		FreeSpace later = new FreeSpace(state().fleet());
@@ -112,4 +94,50 @@
 
 	}
 
+	/** One pass over the waiting jobs. */
+	private static final class Pass {
+
+		private final FreeSpace free;
+
+		private final Set<GangShape> unplaceable = new HashSet<>();
+
+		private final Set<GangShape> unplaceableBeside = new HashSet<>();
+
+		private FreeSpace beside;
+
+		private Reservation reservation;
+
+		Pass(FreeSpace free) {
+			this.free = free;
+		}
+
+		void reserve(Reservation head) {
+			this.reservation = head;
+			this.beside = this.free.copy();
+			this.beside.take(head.shape(), head.placement());
+		}
+
+		// A job that outlasts the reservation may only lie beside it.
+		Optional<GangPlacement> place(GangShape shape, Instant end) {
+			boolean outlasts = this.reservation != null && end.isAfter(this.reservation.at());
+			Set<GangShape> failed = outlasts ? this.unplaceableBeside : this.unplaceable;
+			if (failed.contains(shape) || this.unplaceable.contains(shape)) {
+				return Optional.empty();
+			}
+			Optional<GangPlacement> place = (outlasts ? this.beside : this.free).bestFit(shape);
+			if (place.isEmpty()) {
+				failed.add(shape);
+			}
+			return place;
+		}
+
+		void take(GangShape shape, GangPlacement placement) {
+			this.free.take(shape, placement);
+			if (this.reservation != null) {
+				this.beside.take(shape, placement);
+			}
+		}
+
+	}
+
 }
