Check guarantees against an exhaustive packer, and bench the policy

Cause: that all guarantees can be used at once was checked by the packing rule itself; and the bench compared baselines only. Change: GuaranteeChecker takes the regions from the view, checks that they are disjoint, adjacent and fit, and asks ExhaustivePacker whether guarantees that are told short really cannot be packed beside those in use. Takeover from a replay is a property too.

--- a/bench/src/main/java/io/verbenatrack/bench/scheduling/Policy.java
+++ b/bench/src/main/java/io/verbenatrack/bench/scheduling/Policy.java
@@ -5,6 +5,7 @@
 import io.verbenatrack.scheduling.Scheduler;
 import io.verbenatrack.scheduling.baseline.EasyBackfillScheduler;
 import io.verbenatrack.scheduling.baseline.FirstFitScheduler;
+import io.verbenatrack.scheduling.policy.GuaranteeScheduler;
 
 /**
  * A policy that the bench compares.
@@ -15,7 +16,10 @@
 	FIRST_FIT("first-fit", FirstFitScheduler::new),
 
 	/** Best fit with EASY backfill. */
-	EASY_BACKFILL("easy-backfill", EasyBackfillScheduler::new);
+	EASY_BACKFILL("easy-backfill", EasyBackfillScheduler::new),
+
+	/** Guaranteed regions with reclaim, reservations and backfill. */
+	GUARANTEE("guarantee", GuaranteeScheduler::new);
 
 	private final String title;
 
--- /dev/null
+++ b/scheduling/src/test/java/io/verbenatrack/scheduling/property/GuaranteeChecker.java
@@ -0,0 +1,82 @@
+package io.verbenatrack.scheduling.property;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+
+import io.verbenatrack.model.GangPlacement;
+import io.verbenatrack.model.GangShape;
+import io.verbenatrack.model.Guarantee;
+import io.verbenatrack.model.Slot;
+import io.verbenatrack.model.WorkerSpec;
+import io.verbenatrack.scheduling.SchedulingView;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Checks in a view that all guarantees can be used at once, and that those told short
+ * really do not fit.
+ */
+final class GuaranteeChecker {
+
+	private static final Set<String> TAKING_WORK = Set.of("ready", "probation");
+
+	private GuaranteeChecker() {
+	}
+
+	static void check(SchedulingView view) {
+		List<WorkerSpec> usable = view.workers()
+			.stream()
+			.filter((worker) -> TAKING_WORK.contains(worker.phase()))
+			.map(SchedulingView.WorkerView::worker)
+			.toList();
+		ExhaustivePacker bound = new ExhaustivePacker(usable);
+		ExhaustivePacker inUse = new ExhaustivePacker(usable);
+		List<GangShape> movable = new ArrayList<>();
+		for (SchedulingView.AccountView account : view.accounts()) {
+			List<GangShape> open = gangs(account.guaranteed());
+			for (GangPlacement region : account.regions()) {
+				GangShape shape = open.stream()
+					.filter((gang) -> gang.accelerators() == region.accelerators())
+					.findFirst()
+					.orElseThrow(() -> new AssertionError("Region of no guarantee: " + region));
+				open.remove(shape);
+				assertThat(bound.take(shape, region.slots())).as("regions are disjoint and fit: %s", region).isTrue();
+				if (isUsed(view, account, region)) {
+					inUse.take(shape, region.slots());
+				}
+				else {
+					movable.add(shape);
+				}
+			}
+			assertThat(open).as("gangs without a region of %s", account.account())
+				.containsExactlyInAnyOrderElementsOf(gangs(account.missing()));
+			movable.addAll(open);
+		}
+		boolean isShort = view.accounts().stream().anyMatch((account) -> !account.missing().isEmpty());
+		assertThat(isShort && inUse.packs(movable)).as("told short although all guarantees fit").isFalse();
+	}
+
+	private static boolean isUsed(SchedulingView view, SchedulingView.AccountView account, GangPlacement region) {
+		return view.jobs()
+			.stream()
+			.filter((job) -> job.job().account().equals(account.account()) && job.placement().isPresent())
+			.anyMatch((job) -> job.placement().get().slots().stream().allMatch((slot) -> covers(region, slot)));
+	}
+
+	private static boolean covers(GangPlacement region, Slot slot) {
+		return region.slots()
+			.stream()
+			.anyMatch((part) -> part.worker().equals(slot.worker())
+					&& part.firstAccelerator() <= slot.firstAccelerator()
+					&& part.firstAccelerator() + part.accelerators() >= slot.firstAccelerator() + slot.accelerators());
+	}
+
+	private static List<GangShape> gangs(List<Guarantee> guarantees) {
+		List<GangShape> gangs = new ArrayList<>();
+		guarantees.forEach((each) -> gangs.addAll(Collections.nCopies(each.count(), each.shape())));
+		return gangs;
+	}
+
+}
--- a/scheduling/src/test/java/io/verbenatrack/scheduling/property/RandomEvents.java
+++ b/scheduling/src/test/java/io/verbenatrack/scheduling/property/RandomEvents.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 
 import io.verbenatrack.model.AccountDeclaration;
@@ -61,6 +62,9 @@
 
 	private final List<WorkerSpec> workers;
 
+	private Consumer<Scheduler> check = (scheduler) -> {
+	};
+
 	private Scheduler leader;
 
 	private Scheduler follower;
@@ -107,6 +111,17 @@
 		this.leader = next;
 	}
 
+	// A fresh scheduler takes over from what the leader replays.
+	void restore(Scheduler fresh) {
+		fresh.apply(this.leader.replay());
+		this.follower = this.leader;
+		this.leader = fresh;
+	}
+
+	void afterEach(Consumer<Scheduler> check) {
+		this.check = check;
+	}
+
 	Collection<JobId> unfinished() {
 		return this.checker.unfinished();
 	}
@@ -133,6 +148,7 @@
 			this.trace.remove();
 		}
 		this.checker.after(event, decisions);
+		this.check.accept(this.leader);
 		decisions.forEach(this::answer);
 	}
 
--- a/scheduling/src/test/java/io/verbenatrack/scheduling/property/SchedulerInvariantsTests.java
+++ b/scheduling/src/test/java/io/verbenatrack/scheduling/property/SchedulerInvariantsTests.java
@@ -10,6 +10,7 @@
 import io.verbenatrack.scheduling.Scheduler;
 import io.verbenatrack.scheduling.baseline.EasyBackfillScheduler;
 import io.verbenatrack.scheduling.baseline.FirstFitScheduler;
+import io.verbenatrack.scheduling.policy.GuaranteeScheduler;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -32,12 +33,24 @@
 			.toArray(Object[][]::new);
 	}
 
+	@DataProvider
+	public Object[][] guaranteeSeeds() {
+		return LongStream.rangeClosed(101, 140).mapToObj((seed) -> new Object[] { seed }).toArray(Object[][]::new);
+	}
+
 	@Test(dataProvider = "seeds")
 	public void everyInvariantHoldsAfterEveryEvent(Supplier<Scheduler> policy, long seed) {
 		RandomEvents events = new RandomEvents(seed, WORKERS, policy.get(), policy.get());
 		play(events, seed, () -> events.play(EVENTS));
 	}
 
+	@Test(dataProvider = "guaranteeSeeds")
+	public void allGuaranteesCanBeUsedAtOnceAfterEveryEvent(long seed) {
+		RandomEvents events = new RandomEvents(seed, WORKERS, new GuaranteeScheduler(), new GuaranteeScheduler());
+		events.afterEach((scheduler) -> GuaranteeChecker.check(scheduler.view()));
+		play(events, seed, () -> events.play(EVENTS));
+	}
+
 	@Test(dataProvider = "seeds")
 	public void everyAcceptedJobGetsItsOutcomeOnceTheFleetRecovers(Supplier<Scheduler> policy, long seed) {
 		RandomEvents events = new RandomEvents(seed, WORKERS, policy.get(), policy.get());
@@ -47,6 +60,17 @@
 		});
 	}
 
+	@Test(dataProvider = "seeds")
+	public void replayedStateEqualsLeaderAndDecidesOn(Supplier<Scheduler> policy, long seed) {
+		RandomEvents events = new RandomEvents(seed, WORKERS, policy.get(), policy.get());
+		play(events, seed, () -> {
+			events.play(EVENTS);
+			events.restore(policy.get());
+			assertThat(events.leader().view()).isEqualTo(events.follower().view());
+			assertThat(events.settle(SETTLING_ROUNDS)).as("jobs without outcome: %s", events.unfinished()).isTrue();
+		});
+	}
+
 	@Test(dataProvider = "seeds")
 	public void followerEqualsLeaderAndTakesOver(Supplier<Scheduler> policy, long seed) {
 		RandomEvents events = new RandomEvents(seed, WORKERS, policy.get(), policy.get());
