Prove the control log by a fault matrix, and measure it

Cause: each fault at each state of a replica has to be tried and counted by a program; the matrix found three faults of the code. ControlBench measures failover, configuration in force, durable changes, recovery and traffic.

--- a/bench/src/main/java/io/verbenatrack/bench/control/ClaimWorkload.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/ClaimWorkload.java
@@ -28,6 +28,8 @@
 
 	private static final Duration RETENTION = Duration.ofDays(1);
 
+	private static final long UNKNOWN_PAUSE_NANOS = Duration.ofSeconds(1).toNanos();
+
 	private static final double RELEASES = 0.5;
 
 	private final List<List<Operation<ClaimModel.Input, ClaimModel.Output>>> histories = new ArrayList<>();
@@ -84,7 +86,8 @@
 				history.add(new Operation<>(input, invoked, Long.MAX_VALUE, Optional.empty()));
 			}
 			calls.turn(outcome);
-			calls.time().after(this.thinkNanos, () -> act(calls, request, action, attempt));
+			long pause = neverAdded ? this.thinkNanos : UNKNOWN_PAUSE_NANOS;
+			calls.time().after(pause, () -> act(calls, request, action, attempt));
 		});
 	}
 
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/control/ControlBench.java
@@ -0,0 +1,96 @@
+package io.verbenatrack.bench.control;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.HdrHistogram.Histogram;
+
+import io.verbenatrack.bench.control.ControlBenchReport.Failover;
+import io.verbenatrack.bench.control.ControlBenchReport.Recovery;
+import io.verbenatrack.bench.control.ControlBenchReport.Resumes;
+import io.verbenatrack.bench.control.ControlBenchReport.Traffic;
+
+/**
+ * Runs seeded schedules of faults and measures the control log: {@code bench control}.
+ */
+public final class ControlBench {
+
+	private static final int FAILOVERS = 300;
+
+	private static final List<Integer> LOG_LENGTHS = List.of(1_000, 10_000, 100_000);
+
+	private static final List<Integer> CLUSTER_SIZES = List.of(3, 5, 7);
+
+	private static final Duration BUSY = Duration.ofMillis(20);
+
+	private ControlBench() {
+	}
+
+	/**
+	 * Runs the bench.
+	 * @param options what to measure
+	 * @return what was measured
+	 * @throws UncheckedIOException when the folder for the log's files cannot be used
+	 */
+	public static ControlBenchReport run(ControlBenchOptions options) {
+		List<ScheduleResult> results = ScheduleRuns.run(options.seed(), options.schedules(), options.threads());
+		List<String> violations = new ArrayList<>();
+		Histogram inForce = new Histogram(3);
+		for (ScheduleResult result : results) {
+			result.violations().forEach((violation) -> violations.add("seed " + result.seed() + " " + violation));
+			result.inForceMillis().forEach((millis) -> inForce.recordValue(millis * 1_000));
+		}
+		LogMeasurement log = new LogMeasurement(options.folder());
+		try {
+			return new ControlBenchReport(options.seed(), options.schedules(), violations,
+					results.stream().mapToInt(ScheduleResult::openVerdicts).sum(),
+					results.stream().mapToLong(ScheduleResult::configurationOperations).sum(),
+					results.stream().mapToLong(ScheduleResult::claimOperations).sum(), resumes(results),
+					failovers(options.seed()), FailoverMeasurement.quantiles(inForce), log.throughput(),
+					recoveries(log), traffic(options.seed()));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static Resumes resumes(List<ScheduleResult> results) {
+		return new Resumes(results.stream().mapToLong(ScheduleResult::resumes).sum(),
+				results.stream().mapToLong(ScheduleResult::wrongPlainResumes).sum(),
+				results.stream()
+					.filter((result) -> result.violations().stream().anyMatch((text) -> text.contains("differs")))
+					.count(),
+				results.stream().mapToLong(ScheduleResult::unknownResumes).sum());
+	}
+
+	private static List<Failover> failovers(long seed) {
+		List<Failover> failovers = new ArrayList<>();
+		for (Duration link : List.of(Duration.ofMillis(1), Duration.ofMillis(1).plusNanos(500_000))) {
+			for (FaultKind cause : List.of(FaultKind.PROCESS_DEATH, FaultKind.PARTITION_BOTH)) {
+				failovers.add(FailoverMeasurement.measure(link, cause, seed, FAILOVERS));
+			}
+		}
+		return failovers;
+	}
+
+	private static List<Recovery> recoveries(LogMeasurement log) throws IOException {
+		List<Recovery> recoveries = new ArrayList<>();
+		for (int entries : LOG_LENGTHS) {
+			recoveries.add(log.recovery(entries));
+		}
+		return recoveries;
+	}
+
+	private static List<Traffic> traffic(long seed) {
+		List<Traffic> traffic = new ArrayList<>();
+		for (int replicas : CLUSTER_SIZES) {
+			traffic.add(FailoverMeasurement.traffic(replicas, Duration.ZERO, seed));
+			traffic.add(FailoverMeasurement.traffic(replicas, BUSY, seed));
+		}
+		return traffic;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/control/LogMeasurement.java
@@ -0,0 +1,179 @@
+package io.verbenatrack.bench.control;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Stream;
+
+import io.verbenatrack.bench.control.ControlBenchReport.LogThroughput;
+import io.verbenatrack.bench.control.ControlBenchReport.Recovery;
+import io.verbenatrack.control.Proposal;
+import io.verbenatrack.control.ReplicaLimits;
+import io.verbenatrack.control.ReplicaPeer;
+import io.verbenatrack.control.ReplicaSettings;
+import io.verbenatrack.control.ReplicaTimings;
+import io.verbenatrack.control.StateMachine;
+import io.verbenatrack.control.driver.Replica;
+import io.verbenatrack.control.driver.ReplicaTransport;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.MonotonicClock;
+
+/**
+ * Measures one replica on this machine's disk.
+ */
+final class LogMeasurement {
+
+	private static final int PROPOSERS = 128;
+
+	private static final int COMMAND_BYTES = 200;
+
+	private static final Duration SPAN = Duration.ofSeconds(2);
+
+	private static final double NANOS_PER_MILLI = 1e6;
+
+	private static final double BYTES_PER_MEGABYTE = 1 << 20;
+
+	private static final ReplicaPeer SELF = new ReplicaPeer(new InstanceId("measured"), "127.0.0.1", 1);
+
+	private final Path folder;
+
+	LogMeasurement(Path folder) {
+		this.folder = folder;
+	}
+
+	LogThroughput throughput() throws IOException {
+		return new LogThroughput(machineSyncs(), changes(true), changes(false), PROPOSERS);
+	}
+
+	private double machineSyncs() throws IOException {
+		Path file = Files.createTempFile(this.folder, "sync", ".bytes");
+		try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
+			long count = 0;
+			long start = System.nanoTime();
+			while (System.nanoTime() - start < SPAN.toNanos()) {
+				channel.write(ByteBuffer.allocate(COMMAND_BYTES));
+				channel.force(false);
+				count++;
+			}
+			return perSecond(count, System.nanoTime() - start);
+		}
+		finally {
+			Files.delete(file);
+		}
+	}
+
+	private static double perSecond(long count, long nanos) {
+		return count * (double) Duration.ofSeconds(1).toNanos() / nanos;
+	}
+
+	private double changes(boolean groupCommit) throws IOException {
+		Path data = Files.createTempDirectory(this.folder, "log");
+		try (Replica replica = start(data, groupCommit, ReplicaLimits.DEFAULT, new CountingMachine())) {
+			AtomicLong committed = new AtomicLong();
+			Semaphore room = new Semaphore(PROPOSERS);
+			long start = System.nanoTime();
+			while (System.nanoTime() - start < SPAN.toNanos()) {
+				room.acquireUninterruptibly();
+				replica.propose(new byte[COMMAND_BYTES]).thenAccept((outcome) -> {
+					if (outcome instanceof Proposal.Committed) {
+						committed.incrementAndGet();
+					}
+					room.release();
+				});
+			}
+			room.acquireUninterruptibly(PROPOSERS);
+			return perSecond(committed.get(), System.nanoTime() - start);
+		}
+		finally {
+			delete(data);
+		}
+	}
+
+	private static Replica start(Path data, boolean groupCommit, ReplicaLimits limits, StateMachine machine)
+			throws IOException {
+		ReplicaSettings settings = new ReplicaSettings("bench", SELF, List.of(SELF), data, ReplicaTimings.DEFAULT,
+				limits, groupCommit);
+		Replica replica = Replica.start(settings, machine, ReplicaTransport.none(), (notice, detail) -> {
+		}, MonotonicClock.system());
+		while (!replica.leads()) {
+			LockSupport.parkNanos(Duration.ofMillis(1).toNanos());
+		}
+		return replica;
+	}
+
+	/**
+	 * Restarts a replica whose log was never compacted.
+	 * @param entries how many entries it holds
+	 * @return how long it took
+	 * @throws IOException when the files cannot be used
+	 */
+	Recovery recovery(int entries) throws IOException {
+		ReplicaLimits limits = ReplicaLimits.DEFAULT.withSnapshots(Integer.MAX_VALUE, entries);
+		Path data = Files.createTempDirectory(this.folder, "recovery");
+		try {
+			fill(data, limits, entries);
+			long start = System.nanoTime();
+			try (Replica replica = start(data, true, limits, new CountingMachine())) {
+				double millis = (System.nanoTime() - start) / NANOS_PER_MILLI;
+				System.gc();
+				Runtime runtime = Runtime.getRuntime();
+				double heap = (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_MEGABYTE;
+				return new Recovery(entries, millis, heap);
+			}
+		}
+		finally {
+			delete(data);
+		}
+	}
+
+	private static void fill(Path data, ReplicaLimits limits, int entries) throws IOException {
+		try (Replica replica = start(data, true, limits, new CountingMachine())) {
+			Semaphore room = new Semaphore(PROPOSERS);
+			for (int i = 0; i < entries; i++) {
+				room.acquireUninterruptibly();
+				replica.propose(new byte[COMMAND_BYTES]).thenRun(room::release);
+			}
+			room.acquireUninterruptibly(PROPOSERS);
+		}
+	}
+
+	private static void delete(Path data) throws IOException {
+		try (Stream<Path> files = Files.walk(data)) {
+			for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+				Files.delete(file);
+			}
+		}
+	}
+
+	private static final class CountingMachine implements StateMachine {
+
+		private long count;
+
+		@Override
+		public byte[] apply(long index, byte[] command) {
+			this.count++;
+			return new byte[0];
+		}
+
+		@Override
+		public byte[] snapshot() {
+			return ByteBuffer.allocate(Long.BYTES).putLong(this.count).array();
+		}
+
+		@Override
+		public void restore(byte[] snapshot) {
+			this.count = ByteBuffer.wrap(snapshot).getLong();
+		}
+
+	}
+
+}
--- a/bench/src/main/java/io/verbenatrack/bench/control/SafetyMonitor.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SafetyMonitor.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 import com.google.protobuf.ByteString;
 
@@ -26,6 +27,9 @@
 
 	private final List<String> violations = new ArrayList<>();
 
+	private Consumer<SimulatedReplica> trigger = (replica) -> {
+	};
+
 	private long resumes;
 
 	private long wrongPlainResumes;
@@ -36,7 +40,16 @@
 		this.cluster = cluster;
 	}
 
+	/**
+	 * Lets somebody look at each replica after each of its events.
+	 * @param looks looks at it; must not change it at once
+	 */
+	void trigger(Consumer<SimulatedReplica> looks) {
+		this.trigger = looks;
+	}
+
 	void observe(SimulatedReplica replica) {
+		this.trigger.accept(replica);
 		if (replica.core().role().leading()) {
 			ReplicaId earlier = this.leaders.putIfAbsent(replica.core().term(), replica.id());
 			if (earlier != null && !earlier.equals(replica.id())) {
--- a/bench/src/main/java/io/verbenatrack/bench/control/Schedule.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/Schedule.java
@@ -7,6 +7,8 @@
 import java.util.TreeMap;
 
 import io.verbenatrack.bench.control.LinearizabilityChecker.Verdict;
+import io.verbenatrack.model.ChangeId;
+import io.verbenatrack.state.configuration.ConfigurationCodec;
 
 /**
  * One seeded run of replicas, instances, operators and entries under faults, after which
@@ -90,6 +92,18 @@
 		return result();
 	}
 
+	long acceptedChanges() {
+		return this.acceptedNanos.size();
+	}
+
+	/**
+	 * A change that never wins.
+	 * @return its command
+	 */
+	byte[] probe() {
+		return ConfigurationCodec.change(new ChangeId("probe"), "bench", -1, new byte[0]);
+	}
+
 	void runUntil(long nanos) {
 		while (this.cluster.time().step(nanos)) {
 			continue;
--- a/control/src/main/java/io/verbenatrack/control/replica/FollowerProgress.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/FollowerProgress.java
@@ -49,7 +49,6 @@
 	}
 
 	void noteAnswer(long sent) {
-		this.awaitsAnswer = false;
 		if (!this.answered || sent - this.answeredNanos > 0) {
 			this.answeredNanos = sent;
 			this.answered = true;
--- a/control/src/main/java/io/verbenatrack/control/replica/Formation.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/Formation.java
@@ -32,18 +32,19 @@
 
 	private boolean announced;
 
+	private boolean forming;
+
 	Formation(ReplicaState state) {
 		this.state = state;
 	}
 
 	void tick() {
-		if (this.state.role != ReplicaRole.UNFORMED) {
+		if (this.state.role != ReplicaRole.UNFORMED || this.forming) {
 			return;
 		}
 		formWhenReady();
 		long interval = this.state.configuration.timings().announcement().toNanos();
-		if (this.state.role == ReplicaRole.UNFORMED
-				&& (!this.announced || this.state.now - this.announcedNanos >= interval)) {
+		if (!this.forming && (!this.announced || this.state.now - this.announcedNanos >= interval)) {
 			announce();
 		}
 	}
@@ -65,7 +66,7 @@
 	}
 
 	void receive(ReplicaMessage message) {
-		if (this.state.role != ReplicaRole.UNFORMED) {
+		if (this.state.role != ReplicaRole.UNFORMED || this.forming) {
 			return;
 		}
 		ReplicaMember member = message.getAnnouncement().getMember();
@@ -93,11 +94,24 @@
 				.addVoters(isSelf(founder) ? this.state.configuration.self() : this.ready.get(founder.getInstance()));
 		}
 		String cluster = this.state.configuration.clusterName() + "-" + Long.toHexString(this.state.random.nextLong());
-		this.state.move(RoleChange.FORMED);
-		this.state.adopt(this.state.hard.toBuilder().setCluster(cluster).setTerm(FIRST_TERM).build());
+		this.forming = true;
+		// The cluster comes last: a torn write must not leave a cluster without members.
 		this.state.append(LogEntry.newBuilder().setIndex(1).setTerm(FIRST_TERM).setMembership(membership).build());
+		this.state.adopt(this.state.hard.toBuilder().setCluster(cluster).setTerm(FIRST_TERM).build());
 		this.state.noteDurableEnd();
-		this.state.note(ReplicaNotice.FORMED, cluster);
+		// Nobody may hear of a cluster that this disk does not hold yet.
+		this.state.outbox.whenDurable(() -> {
+			this.state.move(RoleChange.FORMED);
+			this.state.note(ReplicaNotice.FORMED, cluster);
+		});
+	}
+
+	/**
+	 * Whether this replica writes the first membership at the moment.
+	 * @return whether it must not join another cluster
+	 */
+	boolean forming() {
+		return this.forming;
 	}
 
 	/**
--- a/control/src/main/java/io/verbenatrack/control/replica/LeaderReplication.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/LeaderReplication.java
@@ -138,7 +138,7 @@
 			if (reply.getAccepted()) {
 				accepted(follower, reply.getIndex());
 			}
-			else if (reply.getRefusedIndex() > follower.matchIndex && follower.mode != FollowerProgress.Mode.SNAPSHOT) {
+			else if (refusesWhatWasSent(follower, reply)) {
 				follower.probeFrom(Math.min(reply.getIndex() + 1, reply.getRefusedIndex()));
 			}
 			this.leadership.renewLease();
@@ -146,11 +146,22 @@
 		});
 	}
 
+	// A refusal that comes late or twice must not start another probe, or probes
+	// multiply.
+	private static boolean refusesWhatWasSent(FollowerProgress follower, AppendReply reply) {
+		return switch (follower.mode) {
+			case PROBE -> follower.awaitsAnswer && reply.getRefusedIndex() == follower.nextIndex - 1;
+			case STREAM -> reply.getRefusedIndex() > follower.matchIndex;
+			case SNAPSHOT -> false;
+		};
+	}
+
 	private void accepted(FollowerProgress follower, long index) {
 		follower.matchIndex = Math.max(follower.matchIndex, index);
 		follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1);
 		if (follower.mode == FollowerProgress.Mode.PROBE) {
 			follower.mode = FollowerProgress.Mode.STREAM;
+			follower.awaitsAnswer = false;
 			follower.nextIndex = follower.matchIndex + 1;
 		}
 	}
@@ -168,7 +179,10 @@
 				this.leadership.advanceCommit();
 				return;
 			}
-			follower.snapshotOffset = reply.getNextOffset();
+			if (reply.getNextOffset() != follower.snapshotOffset) {
+				follower.snapshotOffset = reply.getNextOffset();
+				follower.awaitsAnswer = false;
+			}
 		});
 	}
 
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
@@ -201,7 +201,8 @@
 
 	private boolean sameCluster(ReplicaMessage message) {
 		if (this.state.role == ReplicaRole.UNFORMED) {
-			if (!message.getCluster().startsWith(this.state.configuration.clusterName() + "-")) {
+			if (this.formation.forming()
+					|| !message.getCluster().startsWith(this.state.configuration.clusterName() + "-")) {
 				return false;
 			}
 			this.formation.join(message.getCluster());
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaRole.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaRole.java
@@ -28,12 +28,14 @@
 	/** Its disk failed. */
 	FAULTED;
 
+	private final String chartName = name().toLowerCase(Locale.ROOT).replace('_', '-');
+
 	/**
 	 * The name of the state in the chart.
 	 * @return lower case with dashes
 	 */
 	public String chartName() {
-		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+		return this.chartName;
 	}
 
 	static ReplicaRole ofChart(String state) {
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaState.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaState.java
@@ -55,7 +55,9 @@
 
 	long electionDeadline;
 
-	ReplicaState(ReplicaConfiguration configuration, RecoveredLog recovered, RandomGenerator random, long now) {
+	ReplicaState(ReplicaConfiguration configuration, RecoveredLog found, RandomGenerator random, long now) {
+		boolean formed = !found.hardState().getCluster().isEmpty();
+		RecoveredLog recovered = formed ? found : RecoveredLog.EMPTY;
 		this.configuration = configuration;
 		this.self = ReplicaId.of(configuration.self());
 		this.random = random;
@@ -65,7 +67,7 @@
 		this.log = new EntryLog(recovered.baseIndex(), recovered.baseTerm(), recovered.entries());
 		this.commitIndex = this.snapshot.getIndex();
 		this.durableIndex = this.log.lastIndex();
-		this.role = this.hard.getCluster().isEmpty() ? ReplicaRole.UNFORMED : ReplicaRole.FOLLOWER;
+		this.role = formed ? ReplicaRole.FOLLOWER : ReplicaRole.UNFORMED;
 		if (this.snapshot.getIndex() > 0) {
 			this.members.add(this.snapshot.getIndex(), this.snapshot.getMembership());
 		}
--- a/control/src/main/java/io/verbenatrack/control/replica/RoleChange.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/RoleChange.java
@@ -38,12 +38,14 @@
 	/** The disk failed. */
 	DISK_FAILED;
 
+	private final String chartName = name().toLowerCase(Locale.ROOT).replace('_', '-');
+
 	/**
 	 * The name of the event in the chart.
 	 * @return lower case with dashes
 	 */
 	public String chartName() {
-		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+		return this.chartName;
 	}
 
 }
--- /dev/null
+++ b/control/src/test/java/io/verbenatrack/control/storage/LogFolderTests.java
@@ -0,0 +1,117 @@
+package io.verbenatrack.control.storage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.protocol.control.LogEntry;
+import io.verbenatrack.protocol.control.LogRecord;
+import io.verbenatrack.protocol.control.SnapshotHeader;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Tests for {@link LogFolder}: what is left of a log after a crash or damage.
+ */
+public class LogFolderTests {
+
+	private Path folder;
+
+	@BeforeMethod
+	void writeThreeSyncedEntries() throws IOException {
+		this.folder = Files.createTempDirectory("log");
+		try (LogFolder log = LogFolder.open(this.folder, SnapshotHeader.getDefaultInstance()).log()) {
+			for (int index = 1; index <= 3; index++) {
+				log.append(List
+					.of(LogRecord.newBuilder().setEntry(LogEntry.newBuilder().setIndex(index).setTerm(1)).build()));
+				log.sync();
+			}
+		}
+	}
+
+	private Path file() throws IOException {
+		return Folders.list(this.folder, "log-", ".records").get(0);
+	}
+
+	private LogFolder.Opened open() throws IOException {
+		LogFolder.Opened opened = LogFolder.open(this.folder, SnapshotHeader.getDefaultInstance());
+		opened.log().close();
+		return opened;
+	}
+
+	private void damage(int fromEnd) throws IOException {
+		byte[] content = Files.readAllBytes(file());
+		content[content.length - fromEnd] ^= 1;
+		Files.write(file(), content);
+	}
+
+	@Test
+	public void wholeLogIsReadBack() throws IOException {
+		assertThat(open().recovered().entries()).hasSize(3);
+	}
+
+	@Test
+	public void tornTailIsCutAndTheLogGoesOn() throws IOException {
+		byte[] content = Files.readAllBytes(file());
+		Files.write(file(), Arrays.copyOf(content, content.length - 2));
+		LogFolder.Opened opened = open();
+		assertThat(opened.recovered().entries()).hasSize(2);
+		assertThat(opened.tornBytes()).isPositive();
+		assertThat(open().tornBytes()).isZero();
+	}
+
+	@Test
+	public void badRecordBeforeSyncedOnesIsRefusedWithTheRemedy() throws IOException {
+		damage(30);
+		assertThatThrownBy(this::open).isInstanceOf(StorageException.class)
+			.hasMessageContaining("is damaged at byte")
+			.hasMessageContaining("the other replicas fill it");
+	}
+
+	@Test
+	public void newerFormatIsRefusedByName() throws IOException {
+		byte[] content = Files.readAllBytes(file());
+		content[LogFormat.HEADER_BYTES - 1] = 2;
+		Files.write(file(), content);
+		assertThatThrownBy(this::open).hasMessageContaining("has format 2").hasMessageContaining("newer release");
+	}
+
+	@Test
+	public void folderWhoseLogIsGoneGetsANewIncarnation() throws IOException {
+		InstanceId instance = new InstanceId("one");
+		ReplicaId before;
+		try (Identity identity = Identity.open(this.folder, instance)) {
+			before = identity.replica();
+		}
+		try (Identity identity = Identity.open(this.folder, instance)) {
+			assertThat(identity.replica()).isEqualTo(before);
+		}
+		Files.delete(file());
+		try (Identity identity = Identity.open(this.folder, instance)) {
+			assertThat(identity.replica()).isNotEqualTo(before);
+		}
+	}
+
+	@Test
+	public void snapshotArrivesInPartsAndResumesWhereItStopped() throws IOException {
+		SnapshotFolder from = new SnapshotFolder(this.folder);
+		SnapshotFolder to = new SnapshotFolder(Files.createTempDirectory("target"));
+		byte[] state = new byte[1_000];
+		SnapshotHeader header = from.save(SnapshotHeader.newBuilder().setIndex(9).setTerm(2).build(), state);
+		assertThat(to.writePart(header, 0, from.readPart(header, 0, 400).orElseThrow())).isEqualTo(400);
+		assertThat(to.writePart(header, 0, from.readPart(header, 0, 400).orElseThrow())).isEqualTo(400);
+		assertThat(to.writePart(header, 400, from.readPart(header, 400, 400).orElseThrow())).isEqualTo(800);
+		assertThat(to.writePart(header, 800, from.readPart(header, 800, 400).orElseThrow())).isEqualTo(1_000);
+		assertThat(to.latest()).isEqualTo(header);
+		assertThat(to.load(header)).isEqualTo(state);
+	}
+
+}
