Let the simulated disk share syncs as the disk thread does

The simulated disk synced one write after the other, so a slow disk left a backlog of many seconds; the disk thread serves all that waits by one sync, so a replica has no such one. Change: what comes while a sync runs shares the next one.

--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedDisk.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedDisk.java
@@ -38,8 +38,11 @@
 
 	private long slowNanos;
 
-	/** When the disk is done with what it was given. */
-	private long busyUntilNanos;
+	/** When the sync that runs ends. */
+	private long syncEndNanos;
+
+	/** When the sync after it ends, 0 when nothing waits for one. */
+	private long nextSyncEndNanos;
 
 	SimulatedDisk(String incarnation) {
 		this.incarnation = incarnation;
@@ -62,14 +65,25 @@
 	}
 
 	/**
-	 * Reserves the disk for one operation.
+	 * Takes a write into a sync: what comes while one runs shares the next one.
 	 * @param nowNanos the time
-	 * @param latencyNanos how long it takes on a healthy disk
-	 * @return how long from now until it is done
+	 * @param latencyNanos how long a sync takes on a healthy disk
+	 * @return how long from now until the write is synced
 	 */
 	long reserve(long nowNanos, long latencyNanos) {
-		this.busyUntilNanos = Math.max(this.busyUntilNanos, nowNanos) + latencyNanos + this.slowNanos;
-		return this.busyUntilNanos - nowNanos;
+		if (nowNanos >= this.syncEndNanos) {
+			this.syncEndNanos = Math.max(nowNanos, this.nextSyncEndNanos);
+			this.nextSyncEndNanos = 0;
+		}
+		long whole = latencyNanos + this.slowNanos;
+		if (nowNanos >= this.syncEndNanos) {
+			this.syncEndNanos = nowNanos + whole;
+			return whole;
+		}
+		if (this.nextSyncEndNanos == 0) {
+			this.nextSyncEndNanos = this.syncEndNanos + whole;
+		}
+		return this.nextSyncEndNanos - nowNanos;
 	}
 
 	Write write(List<LogRecord> added, boolean replaces) {
@@ -103,7 +117,8 @@
 			land(torn ? write.prefix(random.nextInt(write.added().size() + 1)) : write);
 		}
 		this.unsynced.clear();
-		this.busyUntilNanos = 0;
+		this.syncEndNanos = 0;
+		this.nextSyncEndNanos = 0;
 	}
 
 	RecoveredLog recover() {
