Keep large regions whole and price a head window by its slowest job

Cause: small jobs of an account with a large guarantee filled its region, so that its own large gangs waited; a head window was priced by the sum of the run times left in it; one bad worker could get a job refused. Sorted run time samples are cached.

--- a/scheduling/src/main/java/io/verbenatrack/scheduling/policy/GuaranteeScheduler.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/GuaranteeScheduler.java
@@ -77,7 +77,7 @@
 		Optional<WorkerRecord> worker = state().fleet().worker(report.worker());
 		if (worker.isPresent()
 				&& BadWorker.quarantines(worker.get(), state().fleet().workers(), state().declarations().defaults())) {
-			Instant until = now.plus(state().declarations().defaults().quarantineProbation());
+			Instant until = now.plus(BadWorker.duration(worker.get(), state().declarations().defaults()));
 			log.add(new SchedulingDecision.QuarantineWorker(report.worker(), until));
 		}
 	}
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/policy/HeadWindow.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/HeadWindow.java
@@ -2,9 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.IdentityHashMap;
+import java.util.Map;
 import java.util.Optional;
 
-import io.verbenatrack.model.GangPlacement;
 import io.verbenatrack.scheduling.rules.Defragmentation;
 import io.verbenatrack.scheduling.rules.RunTimeEstimate;
 import io.verbenatrack.scheduling.state.JobRecord;
@@ -14,7 +15,7 @@
  * Finds the accelerators that a large waiting gang can have soonest: jobs that may be
  * moved count for little, the others for the run time they have left.
  */
-final class HeadWindow {
+final class HeadWindow implements WindowPrice {
 
 	/** Moving a job is worth this much waiting of the large gang, per accelerator. */
 	private static final double MOVE_PRICE_MS = 2_000;
@@ -27,6 +28,8 @@
 
 	private final Instant now;
 
+	private final Map<JobRecord, Price> prices = new IdentityHashMap<>();
+
 	HeadWindow(SchedulingState state, RoomIndex rooms, JobRecord large, Instant now) {
 		this.state = state;
 		this.rooms = rooms;
@@ -34,13 +37,32 @@
 		this.now = now;
 	}
 
-	Optional<Window> find() {
-		return new WindowSearch(this.state, this.rooms, this.large, this::price, (worker) -> 0).anywhere();
+	Optional<Window> find(Reservations reservations) {
+		return new WindowSearch(this.state, this.rooms, this.large, this,
+				(worker) -> reservations.isReserved(worker) ? -1L : 0)
+			.anywhere();
+	}
+
+	@Override
+	public double leave(JobRecord blocker) {
+		return this.prices.computeIfAbsent(blocker, this::price).leave();
+	}
+
+	@Override
+	public double await(JobRecord blocker) {
+		return this.prices.computeIfAbsent(blocker, this::price).await();
+	}
+
+	private Price price(JobRecord blocker) {
+		return new Price(leavePrice(blocker), awaitPrice(blocker));
+	}
+
+	private double leavePrice(JobRecord blocker) {
+		return mayMove(blocker) ? MOVE_PRICE_MS * blocker.spec().shape().accelerators() : 0;
 	}
 
-	private double price(JobRecord blocker) {
-		int accelerators = blocker.lease().map((lease) -> lease.placement()).map(GangPlacement::accelerators).orElse(0);
-		return mayMove(blocker) ? MOVE_PRICE_MS * accelerators : remaining(blocker).toMillis();
+	private double awaitPrice(JobRecord blocker) {
+		return mayMove(blocker) ? 0 : remaining(blocker).toMillis();
 	}
 
 	private boolean mayMove(JobRecord blocker) {
@@ -61,4 +83,9 @@
 		return longest;
 	}
 
+	/** What a job in the way costs. */
+	private record Price(double leave, double await) {
+
+	}
+
 }
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/policy/PlaceSearch.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/PlaceSearch.java
@@ -32,6 +32,8 @@
 	/** With failures on more workers than this, a job may return to one of them. */
 	private static final int MAXIMUM_AVOIDED = 3;
 
+	private static final int MAXIMUM_REGION_FACTOR = 2;
+
 	private final SchedulingState state;
 
 	private final RoomIndex rooms;
@@ -45,11 +47,12 @@
 	}
 
 	// A free place within a region of the job's account.
-	Optional<GangPlacement> withinGuarantee(JobRecord job) {
+	Optional<GangPlacement> withinGuarantee(JobRecord job, boolean tightOnly) {
 		GangPlacement best = null;
 		int bestLeft = Integer.MAX_VALUE;
 		for (GangPlacement region : this.state.regions().of(job.spec().account()).values()) {
-			if (region.accelerators() < job.spec().shape().accelerators()) {
+			if (region.accelerators() < job.spec().shape().accelerators()
+					|| (tightOnly && !isTight(region, job) && !usedByAccount(job, region))) {
 				continue;
 			}
 			Optional<GangPlacement> found = inRegion(job, region);
@@ -97,10 +100,23 @@
 		return GangFit.hasCoresAndMemory(worker, shape, shape.accelerators());
 	}
 
-	// A free place outside all regions, or else in those of others.
+	// A free place outside all regions.
+	Optional<GangPlacement> outsideRegions(JobRecord job) {
+		return in(job, this.rooms.open());
+	}
+
+	// A free place anywhere.
 	Optional<GangPlacement> borrowed(JobRecord job) {
-		Optional<GangPlacement> outside = in(job, this.rooms.open());
-		return outside.isPresent() ? outside : in(job, this.rooms.free());
+		return in(job, this.rooms.free());
+	}
+
+	boolean isTight(RegionKey key, JobRecord job) {
+		return isTight(this.state.regions().region(key).orElseThrow(), job);
+	}
+
+	// A small job would keep a much larger gang out of its region.
+	private static boolean isTight(GangPlacement region, JobRecord job) {
+		return region.accelerators() <= MAXIMUM_REGION_FACTOR * job.spec().shape().accelerators();
 	}
 
 	private Optional<GangPlacement> in(JobRecord job, RoomIndex.Room room) {
@@ -190,8 +206,9 @@
 		int covered = 0;
 		for (int index = 0; index < workers.size(); index++) {
 			WorkerRecord worker = workers.get(index);
-			boolean takes = room.isWhole(worker) && GangFit.wholeWorker(worker, shape) > 0
-					&& !avoided.contains(worker.id()) && this.reservations.allows(worker, job);
+			boolean takes = "ready".equals(worker.phase()) && room.isWhole(worker)
+					&& GangFit.wholeWorker(worker, shape) > 0 && !avoided.contains(worker.id())
+					&& this.reservations.allows(worker, job);
 			if (!takes) {
 				covered = 0;
 				continue;
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/policy/PlacementPass.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/PlacementPass.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 import java.util.function.ToLongFunction;
 
 import io.verbenatrack.model.GangPlacement;
@@ -126,35 +125,42 @@
 		if (this.claims.isClaiming(job)) {
 			return false;
 		}
-		Optional<GangPlacement> within = this.search.withinGuarantee(job);
-		if (within.isPresent()) {
-			place(job, within.get());
+		if (placeIn(job, this.search.withinGuarantee(job, true))) {
 			return true;
 		}
 		if (!this.unplaceable.contains(job.spec().shape())) {
 			long denials = this.reservations.denials();
-			Optional<GangPlacement> borrowed = this.search.borrowed(job);
-			if (borrowed.isPresent()) {
-				place(job, borrowed.get());
+			if (placeIn(job, this.search.outsideRegions(job)) || placeIn(job, this.search.withinGuarantee(job, false))
+					|| placeIn(job, this.search.borrowed(job))) {
 				return true;
 			}
 			if (this.reservations.denials() == denials) {
 				this.unplaceable.add(job.spec().shape());
 			}
 		}
+		else if (placeIn(job, this.search.withinGuarantee(job, false))) {
+			return true;
+		}
 		clearForGuarantee(job, this::price, true);
 		return false;
 	}
 
+	private boolean placeIn(JobRecord job, Optional<GangPlacement> placement) {
+		placement.ifPresent((found) -> place(job, found));
+		return placement.isPresent();
+	}
+
 	private void place(JobRecord job, GangPlacement placement) {
 		this.log.add(new SchedulingDecision.PlaceGang(job.id(), this.state.nextToken(), placement, this.now));
 		if (this.state.regions().covering(job.spec().account(), placement).isEmpty()) {
-			this.search.idleRegion(job).ifPresent((idle) -> this.regions.move(idle, placement, this.log));
+			this.search.idleRegion(job)
+				.filter((idle) -> this.search.isTight(idle, job))
+				.ifPresent((idle) -> this.regions.move(idle, placement, this.log));
 		}
 	}
 
 	// Clears accelerators for a job that its account's guarantee covers.
-	private void clearForGuarantee(JobRecord job, ToDoubleFunction<JobRecord> price, boolean withGrace) {
+	private void clearForGuarantee(JobRecord job, WindowPrice price, boolean withGrace) {
 		Optional<Window> cheapest = Optional.empty();
 		for (GangPlacement region : this.state.regions().of(job.spec().account()).values()) {
 			if (region.accelerators() >= job.spec().shape().accelerators()) {
@@ -188,7 +194,7 @@
 		return Reclaim.price(this.state, victim, this.now);
 	}
 
-	private WindowSearch search(JobRecord job, ToDoubleFunction<JobRecord> price, ToLongFunction<WorkerRecord> closed) {
+	private WindowSearch search(JobRecord job, WindowPrice price, ToLongFunction<WorkerRecord> closed) {
 		return new WindowSearch(this.state, this.rooms, job, price, closed);
 	}
 
@@ -234,7 +240,7 @@
 
 	private void reserve(JobRecord job) {
 		HeadWindow head = new HeadWindow(this.state, this.rooms, job, this.now);
-		Optional<Window> window = head.find();
+		Optional<Window> window = head.find(this.reservations);
 		if (window.isEmpty()) {
 			return;
 		}
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/policy/Reservations.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/Reservations.java
@@ -54,6 +54,10 @@
 		return this.all;
 	}
 
+	boolean isReserved(WorkerRecord worker) {
+		return this.byWorker.containsKey(worker.id());
+	}
+
 	// How often a job was kept from a worker.
 	long denials() {
 		return this.denials;
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/policy/WindowSearch.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/WindowSearch.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntPredicate;
-import java.util.function.ToDoubleFunction;
 import java.util.function.ToLongFunction;
 
 import io.verbenatrack.model.GangPlacement;
@@ -32,7 +31,7 @@
 
 	private final JobRecord job;
 
-	private final ToDoubleFunction<JobRecord> price;
+	private final WindowPrice price;
 
 	private final ToLongFunction<WorkerRecord> closed;
 
@@ -46,7 +45,7 @@
 	 * @param price the price of each job that is in the way, infinite when it may stay
 	 * @param closed the accelerators of each worker that must not be used
 	 */
-	WindowSearch(SchedulingState state, RoomIndex rooms, JobRecord job, ToDoubleFunction<JobRecord> price,
+	WindowSearch(SchedulingState state, RoomIndex rooms, JobRecord job, WindowPrice price,
 			ToLongFunction<WorkerRecord> closed) {
 		this.state = state;
 		this.rooms = rooms;
@@ -124,9 +123,14 @@
 		Set<JobRecord> victims = new LinkedHashSet<>();
 		double limit = (this.best != null) ? this.best.price() : Double.POSITIVE_INFINITY;
 		double total = 0;
+		double longest = 0;
 		for (int index = 0; index < workers.size() && total < limit; index++) {
 			total += addVictims(workers.get(index), placement.slots().get(index), victims);
 		}
+		for (JobRecord victim : victims) {
+			longest = Math.max(longest, this.price.await(victim));
+		}
+		total += longest;
 		if (total < limit) {
 			this.best = new Window(placement, List.copyOf(victims), total);
 		}
@@ -144,18 +148,18 @@
 				others.add(each);
 				continue;
 			}
-			total += victims.add(each) ? this.price.applyAsDouble(each) : 0;
+			total += victims.add(each) ? this.price.leave(each) : 0;
 			cores += coresOf(each, worker);
 			memoryGib += memoryOf(each, worker);
 		}
 		int needCores = slot.accelerators() * shape().coresPerAccelerator();
 		int needMemory = slot.accelerators() * shape().memoryGibPerAccelerator();
-		others.sort(Comparator.comparingDouble(this.price));
+		others.sort(Comparator.comparingDouble(this.price::leave));
 		for (JobRecord each : others) {
 			if (cores >= needCores && memoryGib >= needMemory) {
 				break;
 			}
-			total += victims.add(each) ? this.price.applyAsDouble(each) : 0;
+			total += victims.add(each) ? this.price.leave(each) : 0;
 			cores += coresOf(each, worker);
 			memoryGib += memoryOf(each, worker);
 		}
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/rules/BadJob.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/BadJob.java
@@ -18,8 +18,8 @@
 public final class BadJob {
 
 	/**
-	 * A job that failed this many times as often as it may fail on good workers is
-	 * refused even where no worker is proven good.
+	 * A job that failed on this many times as many workers is refused even where none of
+	 * them is proven good.
 	 */
 	static final int UNPROVEN_FACTOR = 4;
 
@@ -35,18 +35,31 @@
 	 */
 	public static Optional<Problem> decide(FleetState fleet, JobRecord job, int refuseAfterWorkers) {
 		Set<WorkerId> good = new LinkedHashSet<>();
+		Set<WorkerId> unproven = new LinkedHashSet<>();
 		Set<WorkerId> all = new LinkedHashSet<>();
 		for (JobSnapshot.Failure failure : job.failures()) {
 			all.add(failure.worker());
+			if (fleet.worker(failure.worker()).filter(BadJob::isUnsuspected).isPresent()) {
+				unproven.add(failure.worker());
+			}
 			if (fleet.worker(failure.worker()).filter((worker) -> isGood(worker, failure)).isPresent()) {
 				good.add(failure.worker());
 			}
 		}
 		boolean refused = good.size() >= refuseAfterWorkers
-				|| job.failures().size() >= UNPROVEN_FACTOR * refuseAfterWorkers;
+				|| unproven.size() >= unprovenLimit(fleet, refuseAfterWorkers);
 		return refused ? Optional.of(problem(job, all)) : Optional.empty();
 	}
 
+	private static boolean isUnsuspected(WorkerRecord worker) {
+		return "ready".equals(worker.phase());
+	}
+
+	private static long unprovenLimit(FleetState fleet, int refuseAfterWorkers) {
+		long ready = fleet.workers().stream().filter(BadJob::isUnsuspected).count();
+		return Math.max(refuseAfterWorkers, Math.min(ready, UNPROVEN_FACTOR * refuseAfterWorkers));
+	}
+
 	private static boolean isGood(WorkerRecord worker, JobSnapshot.Failure failure) {
 		boolean finishedSince = worker.successes() > failure.successesBefore();
 		boolean finishedBefore = failure.successesBefore() > 0 && worker.failuresInARow() <= 1;
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/rules/BadWorker.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/BadWorker.java
@@ -1,5 +1,6 @@
 package io.verbenatrack.scheduling.rules;
 
+import java.time.Duration;
 import java.util.List;
 
 import io.verbenatrack.model.FleetDefaults;
@@ -10,9 +11,22 @@
  */
 public final class BadWorker {
 
+	private static final int MAXIMUM_DOUBLINGS = 6;
+
 	private BadWorker() {
 	}
 
+	/**
+	 * How long a quarantine lasts; it doubles with each failure on probation.
+	 * @param worker the worker
+	 * @param defaults the policy in force
+	 * @return the time
+	 */
+	public static Duration duration(WorkerRecord worker, FleetDefaults defaults) {
+		int repeated = worker.failuresInARow() - defaults.quarantineAfterFailures();
+		return defaults.quarantineProbation().multipliedBy(1L << Math.clamp(repeated, 0, MAXIMUM_DOUBLINGS));
+	}
+
 	/**
 	 * Decides on a worker where a member just failed. On probation one failure suffices.
 	 * @param worker the worker
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/rules/Defragmentation.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/Defragmentation.java
@@ -31,8 +31,8 @@
 	 * @param victim the job that holds accelerators
 	 * @param large the waiting gang
 	 * @param now the time
-	 * @return whether it borrows, is smaller, can save its progress and was not moved
-	 * much
+	 * @return whether it borrows or is of the same account, is smaller, can save its
+	 * progress and was not moved much
 	 */
 	public static boolean mayMove(SchedulingState state, JobRecord victim, JobRecord large, Instant now) {
 		if (victim.leaving() || victim.cancelledAt().isPresent()) {
@@ -41,10 +41,11 @@
 		GangLease lease = victim.lease().orElseThrow();
 		Optional<Instant> startedAt = lease.startedAt();
 		boolean settled = startedAt.isPresent() && Duration.between(startedAt.get(), now).compareTo(MINIMUM_RUN) >= 0;
+		boolean own = victim.spec().account().equals(large.spec().account());
 		boolean smaller = victim.spec().shape().accelerators() < large.spec().shape().accelerators();
 		boolean movable = victim.spec().checkpointable() && victim.spec().urgency() != Urgency.URGENT;
 		return settled && smaller && movable && victim.reclaims() < MAXIMUM_MOVES
-				&& state.regions().covering(victim.spec().account(), lease.placement()).isEmpty();
+				&& (own || state.regions().covering(victim.spec().account(), lease.placement()).isEmpty());
 	}
 
 }
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/rules/PackingRoom.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/PackingRoom.java
@@ -35,7 +35,7 @@
 		this.cores = new int[workers];
 		this.memoryGib = new int[workers];
 		for (WorkerRecord worker : fleet.workers()) {
-			boolean usable = worker.usable();
+			boolean usable = "ready".equals(worker.phase());
 			this.masks[worker.index()] = usable ? AcceleratorMask.first(worker.spec().accelerators()) : 0;
 			this.cores[worker.index()] = worker.spec().cores();
 			this.memoryGib[worker.index()] = worker.spec().memoryGib();
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/rules/RunTimeEstimate.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/RunTimeEstimate.java
@@ -41,14 +41,13 @@
 	 * @return the run time
 	 */
 	public static Duration total(RunTimeSamples samples, JobRecord job, double quantile) {
-		List<Double> ratios = samples.of(job.spec().account(), job.spec().jobClass());
-		double ratio = (ratios.size() >= MINIMUM_SAMPLES) ? quantile(ratios, quantile) : 1;
+		List<Double> sorted = samples.sorted(job.spec().account(), job.spec().jobClass());
+		double ratio = (sorted.size() >= MINIMUM_SAMPLES) ? quantile(sorted, quantile) : 1;
 		double millis = job.spec().declaredRunTime().toMillis() * ratio;
 		return Duration.ofMillis(Math.max(MINIMUM_MS, (long) millis));
 	}
 
-	private static double quantile(List<Double> ratios, double quantile) {
-		List<Double> sorted = ratios.stream().sorted().toList();
+	private static double quantile(List<Double> sorted, double quantile) {
 		int rank = (int) Math.ceil(quantile * sorted.size()) - 1;
 		return sorted.get(Math.max(0, rank));
 	}
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/state/RunTimeSamples.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/state/RunTimeSamples.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -24,6 +25,8 @@
 
 	private final Map<AccountId, Map<String, List<Double>>> ratios = new TreeMap<>();
 
+	private final Map<List<Double>, List<Double>> sorted = new IdentityHashMap<>();
+
 	private int classes;
 
 	void learn(JobRecord job, Instant finishedAt) {
@@ -37,6 +40,7 @@
 
 	private void add(AccountId account, String jobClass, double ratio) {
 		List<Double> samples = samples(account, jobClass);
+		this.sorted.remove(samples);
 		samples.add(ratio);
 		if (samples.size() > MAXIMUM_SAMPLES) {
 			samples.removeFirst();
@@ -67,6 +71,18 @@
 		return decisions;
 	}
 
+	/**
+	 * The samples of a class in order of size.
+	 * @param account the account
+	 * @param jobClass the class
+	 * @return true over declared run times, smallest first
+	 */
+	public List<Double> sorted(AccountId account, String jobClass) {
+		List<Double> samples = this.ratios.getOrDefault(account, Map.of()).get(jobClass);
+		return (samples != null) ? this.sorted.computeIfAbsent(samples, (all) -> all.stream().sorted().toList())
+				: List.of();
+	}
+
 	/**
 	 * The samples of a class.
 	 * @param account the account
