Check a claim again right before it is placed, and repair shortages early

Change: each claim is checked just before its placement; while some account is short, freed accelerators repack the guarantees first. Workers on probation carry regions only where no others do. Accelerators are kept for at least three large gangs.

--- a/scheduling/src/main/java/io/verbenatrack/scheduling/policy/Claims.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/Claims.java
@@ -109,18 +109,17 @@
 			.allMatch((slot) -> this.state.fleet().worker(slot.worker()).filter(WorkerRecord::usable).isPresent());
 	}
 
-	// Claims whose accelerators are free now.
-	Collection<Claim> clear() {
-		List<Claim> clear = new ArrayList<>();
-		for (Claim claim : this.bySequence.values()) {
-			if (claim.job().waiting() && isClear(claim)) {
-				clear.add(claim);
-			}
-		}
-		return clear;
+	Collection<Claim> all() {
+		return List.copyOf(this.bySequence.values());
+	}
+
+	// Whether the accelerators are free now, with the cores and memory beside them, which
+	// another claim on the same worker may have taken.
+	boolean isClear(Claim claim) {
+		return claim.job().waiting() && isFree(claim);
 	}
 
-	private boolean isClear(Claim claim) {
+	private boolean isFree(Claim claim) {
 		GangShape shape = claim.job().spec().shape();
 		for (Slot slot : claim.window().placement().slots()) {
 			Optional<WorkerRecord> worker = this.state.fleet().worker(slot.worker()).filter(WorkerRecord::usable);
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/policy/GuaranteeScheduler.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/GuaranteeScheduler.java
@@ -57,7 +57,8 @@
 			releaseQuarantined(now, log);
 		}
 		this.roomChanged |= freesRoom(log.decisions());
-		if (log.decisions().stream().anyMatch(GuaranteeScheduler::changesFleet)) {
+		boolean repairs = this.roomChanged && !state().shortGuarantees().isEmpty();
+		if (repairs || log.decisions().stream().anyMatch(GuaranteeScheduler::changesFleet)) {
 			this.regions.repack(log);
 			this.roomChanged = true;
 		}
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/policy/PlacementPass.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/policy/PlacementPass.java
@@ -68,9 +68,11 @@
 		this.log = decisions;
 		this.reservations.setTime(time);
 		this.unplaceable.clear();
-		for (Claims.Claim claim : this.claims.clear()) {
-			this.claims.end(claim);
-			place(claim.job(), claim.window().placement());
+		for (Claims.Claim claim : this.claims.all()) {
+			if (this.claims.isClear(claim)) {
+				this.claims.end(claim);
+				place(claim.job(), claim.window().placement());
+			}
 		}
 		for (Claims.Claim claim : this.claims.expired(time)) {
 			this.claims.end(claim);
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/rules/Objective.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/Objective.java
@@ -13,7 +13,7 @@
 
 	private static final int MAXIMUM_RESERVATIONS = 6;
 
-	private static final int MINIMUM_RESERVATIONS = 1;
+	private static final int MINIMUM_RESERVATIONS = 3;
 
 	private Objective() {
 	}
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/rules/PackingRoom.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/PackingRoom.java
@@ -20,6 +20,8 @@
  */
 final class PackingRoom {
 
+	private static final int SUSPECT_PENALTY = 1_000;
+
 	private final FleetState fleet;
 
 	private final long[] masks;
@@ -35,7 +37,7 @@
 		this.cores = new int[workers];
 		this.memoryGib = new int[workers];
 		for (WorkerRecord worker : fleet.workers()) {
-			boolean usable = "ready".equals(worker.phase());
+			boolean usable = worker.usable();
 			this.masks[worker.index()] = usable ? AcceleratorMask.first(worker.spec().accelerators()) : 0;
 			this.cores[worker.index()] = worker.spec().cores();
 			this.memoryGib[worker.index()] = worker.spec().memoryGib();
@@ -104,15 +106,17 @@
 		Set<Left> seen = new HashSet<>();
 		for (WorkerRecord worker : this.fleet.workers()) {
 			int index = worker.index();
-			Left left = new Left(this.masks[index], this.cores[index], this.memoryGib[index]);
-			if (!hasCoresAndMemory(index, shape, shape.accelerators()) || !seen.add(left)) {
+			Left same = new Left(this.masks[index], this.cores[index], this.memoryGib[index],
+					suspicion(List.of(worker)));
+			if (!hasCoresAndMemory(index, shape, shape.accelerators()) || !seen.add(same)) {
 				continue;
 			}
 			int start = AcceleratorMask.bestStart(this.masks[index], shape.accelerators());
 			if (start >= 0) {
 				Slot slot = new Slot(worker.id(), start, shape.accelerators());
 				int longest = AcceleratorMask.longestRun(this.masks[index]);
-				candidates.add(new Candidate(new GangPlacement(List.of(slot)), longest));
+				int left = longest + suspicion(List.of(worker));
+				candidates.add(new Candidate(new GangPlacement(List.of(slot)), left));
 			}
 		}
 	}
@@ -120,17 +124,24 @@
 	private void addRuns(RackRecord rack, GangShape shape, List<Candidate> candidates) {
 		List<WorkerRecord> workers = rack.workers();
 		for (int first = 0; first < workers.size(); first++) {
-			int run = wholeRun(rack, first, shape);
+			int length = wholeRun(rack, first, shape);
 			boolean startsRun = first == 0 || !rack.adjacentToPrevious(first)
 					|| !isWhole(workers.get(first - 1), shape);
-			int needed = workersNeeded(workers, first, run, shape);
+			int needed = workersNeeded(workers, first, length, shape);
 			if (needed > 0) {
-				GangPlacement placement = GangFit.over(workers.subList(first, first + needed), shape);
-				candidates.add(new Candidate(placement, startsRun ? run : run + workers.size()));
+				List<WorkerRecord> run = workers.subList(first, first + needed);
+				int left = length + (startsRun ? 0 : workers.size()) + suspicion(run);
+				candidates.add(new Candidate(GangFit.over(run, shape), left));
 			}
 		}
 	}
 
+	// Workers on probation carry regions only where no others do.
+	private static int suspicion(List<WorkerRecord> workers) {
+		boolean trusted = workers.stream().noneMatch((worker) -> "probation".equals(worker.phase()));
+		return trusted ? 0 : SUSPECT_PENALTY;
+	}
+
 	private int wholeRun(RackRecord rack, int first, GangShape shape) {
 		int end = first;
 		while (end < rack.workers().size() && isWhole(rack.workers().get(end), shape)
@@ -158,7 +169,7 @@
 	}
 
 	// Makes workers that are alike equal.
-	private record Left(long mask, int cores, int memoryGib) {
+	private record Left(long mask, int cores, int memoryGib, int suspicion) {
 
 	}
 
