--- /dev/null
+++ b/scheduling/src/test/java/io/verbenatrack/scheduling/rules/BadJobTests.java
@@ -0,0 +1,43 @@
+package io.verbenatrack.scheduling.rules;
+
+import org.testng.annotations.Test;
+
+import io.verbenatrack.scheduling.state.JobRecord;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link BadJob}.
+ */
+public class BadJobTests {
+
+	private static final int REFUSE_AFTER = 3;
+
+	@Test
+	public void refusesAJobThatFailedOnSeveralGoodWorkers() {
+		assertThat(failedOn(3, true)).isTrue();
+	}
+
+	@Test
+	public void triesAgainBeforeThat() {
+		assertThat(failedOn(2, true)).isFalse();
+	}
+
+	@Test
+	public void doesNotBlameAJobForUnprovenWorkers() {
+		assertThat(failedOn(3, false)).isFalse();
+	}
+
+	private static boolean failedOn(int workers, boolean proven) {
+		RuleFixture fixture = new RuleFixture(12);
+		JobRecord job = fixture.waiting("bad", 1);
+		for (int worker = 0; worker < workers; worker++) {
+			if (proven) {
+				fixture.finish("good" + worker, worker, RuleFixture.START);
+			}
+			fixture.fail(job, worker);
+		}
+		return BadJob.decide(fixture.state.fleet(), job, REFUSE_AFTER).isPresent();
+	}
+
+}
