--- a/scheduling/src/test/java/io/verbenatrack/scheduling/property/SchedulerInvariantsTests.java
+++ b/scheduling/src/test/java/io/verbenatrack/scheduling/property/SchedulerInvariantsTests.java
@@ -27,7 +27,8 @@
 
 	@DataProvider
 	public Object[][] seeds() {
-		Stream<Supplier<Scheduler>> policies = Stream.of(FirstFitScheduler::new, EasyBackfillScheduler::new);
+		Stream<Supplier<Scheduler>> policies = Stream.of(FirstFitScheduler::new, EasyBackfillScheduler::new,
+				GuaranteeScheduler::new);
 		return policies
 			.flatMap((policy) -> LongStream.rangeClosed(1, 40).mapToObj((seed) -> new Object[] { policy, seed }))
 			.toArray(Object[][]::new);
