Schedule by guarantees, refuse what cannot be packed, and show what a change touches

Cause: the daemon still ran first fit, took declarations that no fleet can hold, had no route for diff, and serve closed at once on SIGTERM. Change: the guarantee scheduler decides; a change whose guarantees conflict is refused with the smallest set before it is proposed, but a resend gets its first outcome; diff names the running jobs it touches; serve ends gracefully.

--- a/cli/src/main/java/io/verbenatrack/cli/ServeCommand.java
+++ b/cli/src/main/java/io/verbenatrack/cli/ServeCommand.java
@@ -65,7 +65,7 @@
 	// Without the halt the JVM reports the signal, and a graceful stop would look like a
 	// failure.
 	private static void close(Instance instance) {
-		instance.close();
+		instance.shutdown();
 		Runtime.getRuntime().halt(ExitCode.DONE.status());
 	}
 
--- a/server/src/main/java/io/verbenatrack/server/ControlModule.java
+++ b/server/src/main/java/io/verbenatrack/server/ControlModule.java
@@ -23,7 +23,7 @@
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.scheduling.Scheduler;
-import io.verbenatrack.scheduling.baseline.FirstFitScheduler;
+import io.verbenatrack.scheduling.policy.GuaranteeScheduler;
 import io.verbenatrack.server.command.CommandCodec;
 import io.verbenatrack.server.command.CommandExecutor;
 import io.verbenatrack.server.command.EntryCommand;
@@ -64,8 +64,9 @@
 	}
 
 	@Provides
-	static Supplier<Scheduler> schedulers() {
-		return FirstFitScheduler::new;
+	static Supplier<Scheduler> schedulers(InstanceSettings settings) {
+		int remembered = settings.limits().rememberedJobs();
+		return () -> new GuaranteeScheduler(remembered);
 	}
 
 	@Provides
@@ -150,9 +151,9 @@
 	@Provides
 	@InstanceScope
 	static Optional<LocalExecutor> local(Optional<Replica> replica, Optional<LeaderDuty> duty,
-			ConfigurationState configuration, RecordCodec codec, InstantSource wallClock) {
+			ConfigurationState configuration, JobsState jobs, RecordCodec codec, InstantSource wallClock) {
 		return duty.map((scheduling) -> new LocalExecutor(scheduling,
-				new ReplicatedCommands(replica.orElseThrow(), configuration, codec, wallClock)));
+				new ReplicatedCommands(replica.orElseThrow(), configuration, jobs, codec, wallClock)));
 	}
 
 	@Provides
--- a/server/src/main/java/io/verbenatrack/server/http/DeclarationRoutes.java
+++ b/server/src/main/java/io/verbenatrack/server/http/DeclarationRoutes.java
@@ -8,6 +8,8 @@
 import io.verbenatrack.model.Result;
 import io.verbenatrack.server.command.CommandExecutor;
 import io.verbenatrack.server.command.EntryCommand;
+import io.verbenatrack.server.command.EntryReply;
+import io.verbenatrack.settings.DeclarationsDiff;
 import io.verbenatrack.settings.DeclarationsJson;
 
 /**
@@ -41,7 +43,8 @@
 	public List<ApiRoute> routes() {
 		return List.of(ApiRoute.of("GET", "/v1/declarations", (call) -> fetch()),
 				ApiRoute.of("GET", "/v1/views/configuration", (call) -> fetch()),
-				ApiRoute.of("PUT", "/v1/declarations", this::change));
+				ApiRoute.of("PUT", "/v1/declarations", this::change),
+				ApiRoute.of("POST", "/v1/declarations/diff", this::diff));
 	}
 
 	private CompletableFuture<ApiAnswer> fetch() {
@@ -60,6 +63,32 @@
 		};
 	}
 
+	private CompletableFuture<ApiAnswer> diff(ApiCall call) {
+		return switch (DeclarationsJson.read(call.body())) {
+			case Result.Failure<Declarations> failure ->
+				CompletableFuture.completedFuture(ApiAnswer.problem(this.format, failure.problem()));
+			case Result.Success<Declarations> success -> this.executor.execute(new EntryCommand.FetchDeclarations())
+				.thenCombine(this.executor.execute(new EntryCommand.FetchView()),
+						(present, view) -> diff(present, view, success.value()));
+		};
+	}
+
+	private ApiAnswer diff(EntryReply present, EntryReply view, Declarations wanted) {
+		if (!(present instanceof EntryReply.DeclarationsInForce inForce)) {
+			return this.answers.of(present);
+		}
+		if (!(view instanceof EntryReply.View known)) {
+			return this.answers.of(view);
+		}
+		DeclarationsDiff diff = DeclarationsDiff.between(inForce.declarations(), wanted);
+		List<ChangeBody> changes = diff.changes()
+			.stream()
+			.map((change) -> new ChangeBody(change.subject().toString(), change.key(), change.before(), change.after()))
+			.toList();
+		return this.answers
+			.json(new DiffBody(inForce.revision().number(), changes, TouchedWork.of(diff, known.view())));
+	}
+
 	private static long number(ApiCall call, String name) {
 		String text = call.query().value(name).orElse("");
 		if (!text.matches("\\d{1,18}")) {
@@ -73,4 +102,12 @@
 		return this.executor.execute(command).thenApply(this.answers::of);
 	}
 
+	private record ChangeBody(String subject, String key, String before, String after) {
+
+	}
+
+	private record DiffBody(long revision, List<ChangeBody> changes, List<String> touchedJobs) {
+
+	}
+
 }
--- a/server/src/main/java/io/verbenatrack/server/leader/ReplicatedCommands.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/ReplicatedCommands.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
@@ -10,12 +12,18 @@
 import io.verbenatrack.model.ChangeId;
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.model.WorkerSpec;
 import io.verbenatrack.routing.KeptAnswer;
+import io.verbenatrack.scheduling.SchedulingView;
+import io.verbenatrack.scheduling.admission.FleetPacker;
+import io.verbenatrack.scheduling.admission.GuaranteeConflict;
+import io.verbenatrack.scheduling.admission.SmallestConflict;
 import io.verbenatrack.server.command.CommandProblems;
 import io.verbenatrack.server.command.EntryCommand;
 import io.verbenatrack.server.command.EntryReply;
 import io.verbenatrack.server.configuration.EncodedDeclarations;
 import io.verbenatrack.server.log.CommandKind;
+import io.verbenatrack.server.log.JobsState;
 import io.verbenatrack.settings.DeclarationsJson;
 import io.verbenatrack.state.RecordCodec;
 import io.verbenatrack.state.claims.ClaimCodec;
@@ -34,6 +42,8 @@
 
 	private final ConfigurationState configuration;
 
+	private final JobsState jobs;
+
 	private final RecordCodec codec;
 
 	private final InstantSource wallClock;
@@ -42,13 +52,15 @@
 	 * Creates the executor.
 	 * @param log takes the commands
 	 * @param configuration the accepted declarations
+	 * @param jobs the workers that guarantees must fit into
 	 * @param codec encodes kept answers
 	 * @param wallClock dates the expiry of claims
 	 */
-	public ReplicatedCommands(ReplicatedLog log, ConfigurationState configuration, RecordCodec codec,
+	public ReplicatedCommands(ReplicatedLog log, ConfigurationState configuration, JobsState jobs, RecordCodec codec,
 			InstantSource wallClock) {
 		this.log = log;
 		this.configuration = configuration;
+		this.jobs = jobs;
 		this.codec = codec;
 		this.wallClock = wallClock;
 	}
@@ -72,6 +84,10 @@
 	}
 
 	private CompletableFuture<EntryReply> change(EntryCommand.ChangeDeclarations change) {
+		Optional<GuaranteeConflict> conflict = conflict(change);
+		if (conflict.isPresent()) {
+			return CompletableFuture.completedFuture(new EntryReply.Failed(conflict.get().problem()));
+		}
 		byte[] declarations = DeclarationsJson.write(change.declarations()).getBytes(StandardCharsets.UTF_8);
 		byte[] command = ConfigurationCodec.change(change.change(), change.operator(), change.expectedRevision(),
 				declarations);
@@ -79,6 +95,19 @@
 				(result) -> changeReply(ConfigurationCodec.result(change.change(), result)));
 	}
 
+	// A resend gets its first outcome, whatever became of the fleet since; and before any
+	// worker is known nothing can be said.
+	private Optional<GuaranteeConflict> conflict(EntryCommand.ChangeDeclarations change) {
+		if (!this.log.leads() || this.configuration.remembers(change.change())) {
+			return Optional.empty();
+		}
+		List<WorkerSpec> workers = this.jobs.view().workers().stream().map(SchedulingView.WorkerView::worker).toList();
+		if (workers.isEmpty()) {
+			return Optional.empty();
+		}
+		return SmallestConflict.find(change.declarations().accounts(), new FleetPacker(workers));
+	}
+
 	private static EntryReply changeReply(ChangeResult result) {
 		return switch (result) {
 			case ChangeResult.Accepted accepted -> new EntryReply.ChangeAccepted(accepted.revision());
--- a/state/src/main/java/io/verbenatrack/state/configuration/ConfigurationState.java
+++ b/state/src/main/java/io/verbenatrack/state/configuration/ConfigurationState.java
@@ -56,13 +56,22 @@
 		return this.inForce;
 	}
 
+	/**
+	 * Whether a change has its outcome, so that a resend only asks for it again.
+	 * @param change the change
+	 * @return whether the outcome is remembered
+	 */
+	public synchronized boolean remembers(ChangeId change) {
+		return this.remembered.containsKey(change.value());
+	}
+
 	/**
 	 * Applies a command of {@link ConfigurationCodec}.
 	 * @param command the command
 	 * @return the result for {@link ConfigurationCodec#result}
 	 * @throws IllegalStateException when the command is of a newer format
 	 */
-	public byte[] apply(byte[] command) {
+	public synchronized byte[] apply(byte[] command) {
 		ConfigurationCommand decoded = ConfigurationCodec.command(command);
 		return change(decoded.getChange()).toByteArray();
 	}
@@ -127,7 +136,7 @@
 	 * behind what it holds.
 	 * @param epoch the new epoch
 	 */
-	public void raiseEpoch(long epoch) {
+	public synchronized void raiseEpoch(long epoch) {
 		ConfigurationInForce present = this.inForce;
 		if (epoch > present.revision().epoch()) {
 			enforce(new ConfigurationInForce(new Revision(epoch, present.revision().number()), present.change(),
@@ -139,7 +148,7 @@
 	 * Copies the whole state.
 	 * @return the state in a versioned format
 	 */
-	public byte[] snapshot() {
+	public synchronized byte[] snapshot() {
 		return ConfigurationSnapshot.newBuilder()
 			.setFormat(ConfigurationCodec.FORMAT)
 			.setEpoch(this.inForce.revision().epoch())
@@ -157,7 +166,7 @@
 	 * @param snapshot what {@link #snapshot()} returned
 	 * @throws IllegalStateException when the snapshot is of a newer format or damaged
 	 */
-	public void restore(byte[] snapshot) {
+	public synchronized void restore(byte[] snapshot) {
 		ConfigurationSnapshot decoded = decode(snapshot);
 		FormatVersions.requireKnown("configuration snapshot", decoded.getFormat(), ConfigurationCodec.FORMAT);
 		this.remembered.clear();
