Measure request routing against round robin and unlimited retries

Change: RoutingBench drives six routers and thirty targets on a virtual clock and calls over loopback; a renewal of a target may say that it is leaving, so that a cut-off entry learns it too. Conclusion: a target whose renewals do not say that it leaves is still sent to by a cut-off entry.

--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/routing/RoutingBench.java
@@ -0,0 +1,131 @@
+package io.verbenatrack.bench.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.verbenatrack.model.AccountId;
+
+/**
+ * Measures request routing against its baselines.
+ */
+public final class RoutingBench {
+
+	private static final long WARM_UP_NANOS = 3 * VirtualTime.SECOND;
+
+	private static final List<Double> LOADS = List.of(0.5, 1.0, 2.0, 4.0);
+
+	private static final AccountId ACCOUNT = new AccountId("catering");
+
+	private static final double IDEMPOTENT_SHARE = 0.5;
+
+	private static final double BROWN_OUT_LOAD = 0.4;
+
+	private static final double STEADY_LOAD = 0.5;
+
+	private RoutingBench() {
+	}
+
+	/**
+	 * Runs the whole bench.
+	 * @param options how
+	 * @return what was measured
+	 * @throws Exception when the loopback part cannot run
+	 */
+	public static RoutingReport run(RoutingBenchOptions options) throws Exception {
+		List<RoutingReport.Load> loads = new ArrayList<>();
+		List<RoutingReport.BrownOut> brownOuts = new ArrayList<>();
+		for (VirtualFleet.Strategy strategy : VirtualFleet.Strategy.values()) {
+			for (double load : LOADS) {
+				loads.add(load(options, strategy, load));
+			}
+			brownOuts.add(brownOut(options, strategy));
+		}
+		return new RoutingReport(options.seed(), loads, brownOuts, withdrawals(options.seed()), fairness(options),
+				LoopbackOverhead.measure(options), OpenRequestMemory.bytesPerRequest(options.seed()));
+	}
+
+	static RoutingReport.Load load(RoutingBenchOptions options, VirtualFleet.Strategy strategy, double load) {
+		VirtualFleet fleet = fleet(options, strategy);
+		fleet.offer(ACCOUNT, load, IDEMPOTENT_SHARE);
+		run(fleet, options);
+		double seconds = options.simulated().toNanos() / (double) VirtualTime.SECOND;
+		double goodput = fleet.caller().answeredCount() / seconds / VirtualFleet.capacityPerSecond();
+		return new RoutingReport.Load(strategy.text(), load, goodput, fleet.caller().answerP99Millis(),
+				fleet.caller().refusalP99Millis());
+	}
+
+	static RoutingReport.BrownOut brownOut(RoutingBenchOptions options, VirtualFleet.Strategy strategy) {
+		VirtualFleet fleet = fleet(options, strategy);
+		fleet.offer(ACCOUNT, BROWN_OUT_LOAD, 1);
+		fleet.time().runUntil(WARM_UP_NANOS);
+		int before = received(fleet);
+		fleet.targets()
+			.stream()
+			.limit(VirtualFleet.TARGETS / 3)
+			.forEach((target) -> target.become(VirtualTarget.Mode.FAILING));
+		run(fleet, options);
+		int attempts = received(fleet) - before;
+		return new RoutingReport.BrownOut(strategy.text(), (double) attempts / fleet.caller().offeredCount(),
+				(double) fleet.caller().answeredCount() / fleet.caller().offeredCount());
+	}
+
+	private static int received(VirtualFleet fleet) {
+		return fleet.targets().stream().mapToInt(VirtualTarget::received).sum();
+	}
+
+	private static VirtualFleet fleet(RoutingBenchOptions options, VirtualFleet.Strategy strategy) {
+		return new VirtualFleet(options.seed(), strategy, WARM_UP_NANOS, end(options));
+	}
+
+	private static void run(VirtualFleet fleet, RoutingBenchOptions options) {
+		fleet.time().runUntil(end(options));
+	}
+
+	private static long end(RoutingBenchOptions options) {
+		return WARM_UP_NANOS + options.simulated().toNanos();
+	}
+
+	static List<RoutingReport.Withdrawal> withdrawals(long seed) {
+		return List.of(withdrawal(seed, "leaving target", false, false),
+				withdrawal(seed, "leaving, entry cut off", true, false),
+				withdrawal(seed, "silent target", false, true));
+	}
+
+	// A silent target stays set aside for five seconds at first, so it is watched for
+	// less.
+	private static RoutingReport.Withdrawal withdrawal(long seed, String event, boolean cutOff, boolean silent) {
+		long watched = WARM_UP_NANOS + 4 * VirtualTime.SECOND;
+		VirtualFleet fleet = new VirtualFleet(seed, VirtualFleet.Strategy.VERBENATRACK, WARM_UP_NANOS, watched);
+		fleet.offer(ACCOUNT, STEADY_LOAD, IDEMPOTENT_SHARE);
+		fleet.time().runUntil(WARM_UP_NANOS);
+		VirtualTarget target = fleet.targets().getFirst();
+		if (cutOff) {
+			fleet.cutOff(0);
+		}
+		if (silent) {
+			target.become(VirtualTarget.Mode.SILENT);
+		}
+		else {
+			fleet.drain(target.spec().id());
+		}
+		fleet.time().runUntil(watched);
+		long last = Math.max(0, target.lastReceivedNanos() - WARM_UP_NANOS);
+		return new RoutingReport.Withdrawal(event, last / (double) VirtualTime.MILLI);
+	}
+
+	static double fairness(RoutingBenchOptions options) {
+		VirtualFleet fleet = fleet(options, VirtualFleet.Strategy.VERBENATRACK);
+		List<AccountId> accounts = List.of(new AccountId("a"), new AccountId("b"), new AccountId("c"),
+				new AccountId("flood"));
+		for (AccountId account : accounts) {
+			fleet.offer(account, account.value().equals("flood") ? 4 : 0.3, IDEMPOTENT_SHARE);
+		}
+		run(fleet, options);
+		double entitled = (double) fleet.caller().answeredCount() / accounts.size();
+		return accounts.stream()
+			.mapToDouble((account) -> fleet.caller().answeredOf(account) / entitled)
+			.min()
+			.orElse(0);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/routing/VirtualTarget.java
@@ -0,0 +1,127 @@
+package io.verbenatrack.bench.routing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.random.RandomGenerator;
+
+import io.verbenatrack.model.ServiceId;
+import io.verbenatrack.model.TargetId;
+import io.verbenatrack.model.ZoneId;
+import io.verbenatrack.routing.TargetPhase;
+import io.verbenatrack.routing.TargetSpec;
+
+/**
+ * A target on a virtual clock: it runs as many requests as it has slots and queues the
+ * rest, whether or not anybody still waits for them.
+ */
+final class VirtualTarget {
+
+	static final ServiceId SERVICE = new ServiceId("jalan");
+
+	static final long MEAN_SERVICE_NANOS = 100 * VirtualTime.MILLI;
+
+	static final int SLOTS = 8;
+
+	private static final int CONNECTIONS = 64;
+
+	private final VirtualTime time;
+
+	private final RandomGenerator random;
+
+	private final TargetSpec spec;
+
+	private final Deque<Runnable> waiting = new ArrayDeque<>();
+
+	private int running;
+
+	private int received;
+
+	private long lastReceivedNanos;
+
+	private Mode mode = Mode.SERVING;
+
+	private TargetPhase phase = TargetPhase.SERVING;
+
+	VirtualTarget(VirtualTime time, RandomGenerator random, int number, String zone) {
+		this.time = time;
+		this.random = random;
+		this.spec = new TargetSpec(new TargetId("t-" + number), SERVICE, new ZoneId(zone), "http://t-" + number, SLOTS,
+				CONNECTIONS);
+	}
+
+	TargetSpec spec() {
+		return this.spec;
+	}
+
+	int load() {
+		return this.running;
+	}
+
+	int received() {
+		return this.received;
+	}
+
+	long lastReceivedNanos() {
+		return this.lastReceivedNanos;
+	}
+
+	TargetPhase phase() {
+		return this.phase;
+	}
+
+	void leave() {
+		this.phase = TargetPhase.LEAVING;
+	}
+
+	void become(Mode next) {
+		this.mode = next;
+	}
+
+	/**
+	 * Takes a request.
+	 * @param answered called when it is answered
+	 * @param failed called when the connection breaks
+	 */
+	void receive(Runnable answered, Runnable failed) {
+		this.received++;
+		this.lastReceivedNanos = this.time.now();
+		switch (this.mode) {
+			case SERVING -> enqueue(answered);
+			case FAILING -> this.time.in(VirtualTime.MILLI, failed);
+			case SILENT -> {
+			}
+		}
+	}
+
+	private void enqueue(Runnable answered) {
+		if (this.running < SLOTS) {
+			run(answered);
+		}
+		else {
+			this.waiting.add(answered);
+		}
+	}
+
+	private void run(Runnable answered) {
+		this.running++;
+		// Half of the mean is fixed, the rest is exponential.
+		double service = MEAN_SERVICE_NANOS * (0.5 - 0.5 * Math.log(1 - this.random.nextDouble()));
+		this.time.in((long) service, () -> {
+			this.running--;
+			answered.run();
+			if (!this.waiting.isEmpty()) {
+				run(this.waiting.poll());
+			}
+		});
+	}
+
+	/**
+	 * How a target behaves.
+	 */
+	enum Mode {
+
+		SERVING, FAILING, SILENT
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Seeded benches of request routing.
+ */
+package io.verbenatrack.bench.routing;
--- /dev/null
+++ b/bench/src/test/java/io/verbenatrack/bench/routing/RoutingBenchTests.java
@@ -0,0 +1,42 @@
+package io.verbenatrack.bench.routing;
+
+import java.time.Duration;
+
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Holds the stated goals on a short virtual run.
+ */
+public class RoutingBenchTests {
+
+	private static final long SEED = 42;
+
+	private static final RoutingBenchOptions SHORT = new RoutingBenchOptions(SEED, Duration.ofSeconds(3), 100);
+
+	@Test
+	public void goodputHoldsAtTwiceTheCapacity() {
+		RoutingReport.Load load = RoutingBench.load(SHORT, VirtualFleet.Strategy.VERBENATRACK, 2);
+		assertThat(load.goodput()).as("seed " + SEED).isGreaterThanOrEqualTo(0.95);
+		assertThat(load.refusalP99Millis()).as("seed " + SEED).isLessThanOrEqualTo(50);
+	}
+
+	@Test
+	public void retriesStayWithinTheirBudget() {
+		RoutingReport.BrownOut brownOut = RoutingBench.brownOut(SHORT, VirtualFleet.Strategy.VERBENATRACK);
+		assertThat(brownOut.attemptsPerRequest()).as("seed " + SEED).isLessThanOrEqualTo(1.1);
+	}
+
+	@Test
+	public void aFloodingAccountTakesNothingFromTheOthers() {
+		assertThat(RoutingBench.fairness(SHORT)).as("seed " + SEED).isGreaterThanOrEqualTo(0.95);
+	}
+
+	@Test
+	public void aLeavingTargetGetsNothingNewWithinTwoSeconds() {
+		assertThat(RoutingBench.withdrawals(SEED)).filteredOn((one) -> one.event().startsWith("leaving"))
+			.allSatisfy((one) -> assertThat(one.millis()).as(one.event()).isLessThanOrEqualTo(2000));
+	}
+
+}
--- a/routing/src/main/java/io/verbenatrack/routing/VersionedTargetDirectory.java
+++ b/routing/src/main/java/io/verbenatrack/routing/VersionedTargetDirectory.java
@@ -55,8 +55,23 @@
 	 * @return the news for the other instances
 	 */
 	public synchronized TargetDelta announce(TargetSpec spec, long incarnation, int load, long nowNanos) {
+		return announce(spec, incarnation, TargetPhase.SERVING, load, nowNanos);
+	}
+
+	/**
+	 * Takes the announcement of a target that says whether it is leaving. Even an entry
+	 * that is cut off from the others then learns it with the next renewal.
+	 * @param spec what it announces
+	 * @param incarnation which start of the target it is, 0 when it does not count
+	 * @param announced where it says it stands
+	 * @param load how many requests it runs
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the news for the other instances
+	 */
+	public synchronized TargetDelta announce(TargetSpec spec, long incarnation, TargetPhase announced, int load,
+			long nowNanos) {
 		Entry known = this.entries.get(spec.id());
-		TargetPhase phase = TargetPhase.SERVING;
+		TargetPhase phase = announced;
 		if (known != null && known.isSameStart(spec, incarnation) && known.phase(nowNanos) == TargetPhase.LEAVING) {
 			phase = TargetPhase.LEAVING;
 		}
