Give the overhead bench an entry that admits always

Cause: request routing now asks whether it may admit, and the bench did not answer. Change: the bench always admits. Measured: not run again after this change.

--- a/bench/src/main/java/io/verbenatrack/bench/routing/LoopbackOverhead.java
+++ b/bench/src/main/java/io/verbenatrack/bench/routing/LoopbackOverhead.java
@@ -10,6 +10,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
@@ -97,7 +98,7 @@
 		RequestRouting routing = RequestRouting.start(new RoutingOptions(SELF, new ZoneId("z"), this.directory,
 				new LocalClaimStore(SELF, InstantSource.system(), Duration.ZERO, CLAIMS), (account) -> 1,
 				RoutingSettings.STANDARD, RequestLimits.STANDARD, targetClient, (use) -> {
-				}, InstantSource.system(), MonotonicClock.system(), new SplittableRandom(seed)));
+				}, InstantSource.system(), MonotonicClock.system(), new SplittableRandom(seed), Optional::empty));
 		this.entryPort = serve(routing.handler());
 		this.closer.register(routing);
 	}
