Measure the slopes of the target size and set them beside the budgets

Cause: the size of two years from now decides designs, and no figure stood for any role or stream.

Change: CapacityBench measures announcements, reports, decisions, state, the log and memory at three sizes or more with three runs each; Budgets works each stream out; tools/capacity starts the processes and replaces the tables of docs/CAPACITY.md, which also weighs the issue's questions. A test holds the page to classes and files that exist.

The page's tables are empty until a run on a quiet machine.

--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/capacity/AcceptingWorkers.java
@@ -0,0 +1,44 @@
+package io.verbenatrack.bench.capacity;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+
+/**
+ * Answers every call to a worker with 200, and never reports.
+ */
+final class AcceptingWorkers implements AutoCloseable {
+
+	private static final int OK = 200;
+
+	private static final byte[] NO_FIELDS = { '{', '}' };
+
+	private final HttpServer server;
+
+	AcceptingWorkers() throws IOException {
+		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+		this.server.createContext("/", AcceptingWorkers::answer);
+		this.server.start();
+	}
+
+	private static void answer(HttpExchange exchange) throws IOException {
+		try (exchange) {
+			exchange.getRequestBody().readAllBytes();
+			exchange.sendResponseHeaders(OK, NO_FIELDS.length);
+			exchange.getResponseBody().write(NO_FIELDS);
+		}
+	}
+
+	String url() {
+		return "http://127.0.0.1:" + this.server.getAddress().getPort();
+	}
+
+	@Override
+	public void close() {
+		this.server.stop(0);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/capacity/CapacityInstance.java
@@ -0,0 +1,58 @@
+package io.verbenatrack.bench.capacity;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import io.verbenatrack.model.Result;
+import io.verbenatrack.server.Instance;
+import io.verbenatrack.settings.InstanceSettings;
+import io.verbenatrack.settings.InstanceSettingsReader;
+
+/**
+ * Runs one instance, or an idle process, until its standard input ends.
+ */
+public final class CapacityInstance {
+
+	private CapacityInstance() {
+	}
+
+	/**
+	 * Runs the process.
+	 * @param args the settings file, the data folder, and the file that gets the process
+	 * id and the URL; or only the last, to stay idle
+	 * @throws Exception when the instance cannot start
+	 */
+	public static void main(String[] args) throws Exception {
+		if (args.length == 1) {
+			announce(Path.of(args[0]), "");
+			awaitEndOfInput();
+			return;
+		}
+		InstanceSettings settings = switch (InstanceSettingsReader.read(Path.of(args[0]))) {
+			case Result.Success<InstanceSettings> success -> success.value();
+			case Result.Failure<InstanceSettings> failure ->
+				throw new IllegalArgumentException(failure.problem().toString());
+		};
+		Instance instance = Instance.start(settings.withData(Path.of(args[1])));
+		try {
+			announce(Path.of(args[2]), "@" + instance.http());
+			awaitEndOfInput();
+		}
+		finally {
+			instance.close();
+		}
+	}
+
+	private static void announce(Path file, String address) throws Exception {
+		Path written = file.resolveSibling(file.getFileName() + ".part");
+		Files.writeString(written, ProcessHandle.current().pid() + address);
+		Files.move(written, file);
+	}
+
+	private static void awaitEndOfInput() throws Exception {
+		while (System.in.read() >= 0) {
+			continue;
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/capacity/CapacityReport.java
@@ -0,0 +1,46 @@
+package io.verbenatrack.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What was measured, and what follows at the target size.
+ *
+ * @param measurements the measured figures
+ * @param budgets each stream beside its budget
+ * @param failures parts of the bench that ended early, and why
+ */
+public record CapacityReport(List<Measurement> measurements, List<BudgetLine> budgets, List<String> failures) {
+
+	public CapacityReport {
+		measurements = List.copyOf(measurements);
+		budgets = List.copyOf(budgets);
+		failures = List.copyOf(failures);
+	}
+
+	/**
+	 * The rows of both tables.
+	 * @return the rows as Markdown
+	 */
+	public String toText() {
+		return measuredTable() + "\n" + budgetTable();
+	}
+
+	String measuredTable() {
+		List<String> rows = new ArrayList<>();
+		rows.add("| measured | unit | size | mean at each size ± half the spread of the runs | slope by size |");
+		rows.add("| --- | --- | --- | --- | --- |");
+		this.measurements.forEach((measurement) -> rows.add(measurement.toRow()));
+		this.failures.forEach((failure) -> rows.add("| **failed** | | | " + failure + " | |"));
+		return String.join("\n", rows) + "\n";
+	}
+
+	String budgetTable() {
+		List<String> rows = new ArrayList<>();
+		rows.add("| role | stream | state | figure at the target size | budget | margin | mechanism | how known |");
+		rows.add("| --- | --- | --- | --- | --- | --- | --- | --- |");
+		this.budgets.forEach((line) -> rows.add(line.toRow()));
+		return String.join("\n", rows) + "\n";
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/capacity/InstanceDriver.java
@@ -0,0 +1,185 @@
+package io.verbenatrack.bench.capacity;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
+
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.io.Connection;
+
+import io.verbenatrack.model.Closer;
+
+/**
+ * Sends calls to one instance at a steady rate and counts their bytes.
+ */
+final class InstanceDriver implements AutoCloseable {
+
+	private static final int CONNECTIONS = 64;
+
+	private static final long TIMEOUT_SECONDS = 10;
+
+	private static final int OK_BELOW = 300;
+
+	private static final long POLL_MILLIS = 5;
+
+	private final ConnectionBytes connections = new ConnectionBytes();
+
+	private final Closer closer = new Closer();
+
+	private final HttpClient client = new HttpClient();
+
+	private final AtomicLong failures = new AtomicLong();
+
+	private final ServedInstance instance;
+
+	InstanceDriver(ServedInstance instance) throws Exception {
+		this.instance = instance;
+		this.client.setMaxConnectionsPerDestination(CONNECTIONS);
+		this.client.setMaxRequestsQueuedPerDestination(Integer.MAX_VALUE);
+		this.client.addBean(this.connections);
+		this.client.start();
+		this.closer.register(this.client::stop);
+	}
+
+	void awaitReady() throws Exception {
+		long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(3 * TIMEOUT_SECONDS);
+		while (this.client.GET(this.instance.http().resolve("/readyz")).getStatus() >= OK_BELOW) {
+			if (System.nanoTime() > limit) {
+				throw new IllegalStateException(
+						this.instance.http() + " does not get ready. Look into the log of the instance.");
+			}
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+	}
+
+	int put(String path, String body) throws Exception {
+		return request(path, HttpMethod.PUT, body).send().getStatus();
+	}
+
+	int post(String path, String body) throws Exception {
+		return request(path, HttpMethod.POST, body).send().getStatus();
+	}
+
+	private Request request(String path, HttpMethod method, String body) {
+		URI uri = this.instance.http().resolve(path);
+		return this.client.newRequest(uri)
+			.method(method)
+			.timeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+			.body(new BytesRequestContent("application/json", body.getBytes(StandardCharsets.UTF_8)));
+	}
+
+	// Spreads the calls evenly over the time and waits for all answers.
+	Load drive(int calls, long nanos, IntFunction<Call> call) throws Exception {
+		long failed = this.failures.get();
+		long bytes = this.connections.total();
+		long cpu = ProcessFigures.cpuNanos(this.instance.pid());
+		long started = System.nanoTime();
+		Semaphore answers = new Semaphore(0);
+		for (int i = 0; i < calls; i++) {
+			awaitUntil(started + nanos * i / calls);
+			send(call.apply(i), answers);
+		}
+		awaitUntil(started + nanos);
+		answers.acquire(calls);
+		long elapsed = System.nanoTime() - started;
+		return new Load(calls, elapsed, ProcessFigures.cpuNanos(this.instance.pid()) - cpu,
+				this.connections.total() - bytes, this.failures.get() - failed);
+	}
+
+	private void send(Call call, Semaphore answers) {
+		request(call.path(), HttpMethod.POST, call.body()).send((result) -> {
+			if (result.isFailed() || result.getResponse().getStatus() >= OK_BELOW) {
+				this.failures.incrementAndGet();
+			}
+			answers.release();
+		});
+	}
+
+	private static void awaitUntil(long nanos) throws InterruptedException {
+		long left = nanos - System.nanoTime();
+		if (left > 0) {
+			TimeUnit.NANOSECONDS.sleep(left);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closer.close();
+	}
+
+	/** Sums what open and closed connections carried. */
+	private static final class ConnectionBytes implements Connection.Listener {
+
+		private final Set<Connection> open = ConcurrentHashMap.newKeySet();
+
+		private final AtomicLong closed = new AtomicLong();
+
+		@Override
+		public void onOpened(Connection connection) {
+			this.open.add(connection);
+		}
+
+		@Override
+		public void onClosed(Connection connection) {
+			this.open.remove(connection);
+			this.closed.addAndGet(carried(connection));
+		}
+
+		long total() {
+			return this.closed.get() + this.open.stream().mapToLong(ConnectionBytes::carried).sum();
+		}
+
+		private static long carried(Connection connection) {
+			return connection.getBytesIn() + connection.getBytesOut();
+		}
+
+	}
+
+	/**
+	 * One call to an instance.
+	 *
+	 * @param path where to
+	 * @param body what
+	 */
+	record Call(String path, String body) {
+
+	}
+
+	/**
+	 * What a series of calls cost the instance.
+	 *
+	 * @param calls the calls
+	 * @param nanos how long they took together
+	 * @param cpuNanos processor time of the instance meanwhile
+	 * @param bytes bytes over the connections, both ways, without TCP and IP headers
+	 * @param failures calls that were refused or not answered
+	 */
+	record Load(int calls, long nanos, long cpuNanos, long bytes, long failures) {
+
+		double corePercent() {
+			return 100.0 * this.cpuNanos / this.nanos;
+		}
+
+		double kilobytesPerSecond() {
+			return this.bytes * 1e6 / this.nanos;
+		}
+
+		double cpuMicrosPerCall() {
+			return this.cpuNanos / 1e3 / this.calls;
+		}
+
+		double bytesPerCall() {
+			return (double) this.bytes / this.calls;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/capacity/InstanceProbe.java
@@ -0,0 +1,168 @@
+package io.verbenatrack.bench.capacity;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.verbenatrack.bench.capacity.InstanceDriver.Call;
+import io.verbenatrack.bench.capacity.InstanceDriver.Load;
+import io.verbenatrack.model.JobSpec;
+import io.verbenatrack.model.WorkerSpec;
+import io.verbenatrack.settings.DeclarationsJson;
+import io.verbenatrack.settings.DurationText;
+import io.verbenatrack.standin.StandinFleet;
+import io.verbenatrack.standin.WorkTable;
+
+/**
+ * Measures one instance in a process of its own under the calls of workers and targets.
+ */
+final class InstanceProbe {
+
+	private static final Duration ANNOUNCE_WORKERS = Duration.ofSeconds(2);
+
+	private static final Duration ANNOUNCE_TARGETS = Duration.ofMillis(500);
+
+	private static final List<Integer> TARGETS = List.of(30, 60, 120);
+
+	private static final int REPORTED_JOBS = 8;
+
+	private static final Duration SETTLING = Duration.ofSeconds(3);
+
+	private static final Duration LONG_RUN = Duration.ofHours(1);
+
+	private final Points points;
+
+	private final CapacityOptions options;
+
+	private String url;
+
+	InstanceProbe(Points points, CapacityOptions options) {
+		this.points = points;
+		this.options = options;
+	}
+
+	void run(ServedInstance instance) throws Exception {
+		try (InstanceDriver driver = new InstanceDriver(instance);
+				AcceptingWorkers accepting = new AcceptingWorkers();
+				StandinFleet fleet = new StandinFleet(List.of(instance.http()), new LongWork())) {
+			this.url = accepting.url();
+			driver.awaitReady();
+			memory("instance at rest, without workers", 0, instance);
+			driver.put("/v1/declarations?expectedRevision=0&changeId=capacity&operator=capacity",
+					DeclarationsJson.write(SampleFleet.declarations()));
+			rest(driver);
+			for (int targets : TARGETS) {
+				targets(driver, targets);
+			}
+			for (int workers : this.options.workers()) {
+				announcements(driver, workers);
+				reports(driver, workers);
+			}
+			fullFleet(driver, fleet, instance);
+		}
+	}
+
+	private void rest(InstanceDriver driver) throws Exception {
+		Load load = driver.drive(0, this.options.window().toNanos(), (number) -> null);
+		this.points.add("idle instance: load", "% of a core", "workers", 0, load.corePercent());
+	}
+
+	private void announcements(InstanceDriver driver, int workers) throws Exception {
+		driver.drive(workers, ANNOUNCE_WORKERS.toNanos(), this::announcement);
+		long window = this.options.window().toNanos();
+		int calls = (int) (workers * window / ANNOUNCE_WORKERS.toNanos());
+		Load load = driver.drive(calls, window, (number) -> announcement(number % workers));
+		record("announcements of workers every 2 s to one instance", "workers", workers, load);
+	}
+
+	private void targets(InstanceDriver driver, int targets) throws Exception {
+		long window = this.options.window().toNanos();
+		int calls = (int) (targets * window / ANNOUNCE_TARGETS.toNanos());
+		Load load = driver.drive(calls, window, (number) -> target(number % targets));
+		record("announcements of targets every 0.5 s to one instance", "targets", targets, load);
+	}
+
+	private void reports(InstanceDriver driver, int reports) throws Exception {
+		for (int job = 0; job < REPORTED_JOBS; job++) {
+			driver.post("/v1/jobs", body(SampleFleet.job(job)));
+		}
+		long window = this.options.window().toNanos();
+		int calls = (int) (reports * window / ANNOUNCE_WORKERS.toNanos());
+		Load load = driver.drive(calls, window, InstanceProbe::report);
+		record("usage reports, one call of each worker every 2 s", "workers", reports, load);
+	}
+
+	private void record(String name, String sizeUnit, int size, Load load) {
+		this.points.add(name + ": load", "% of a core", sizeUnit, size, load.corePercent());
+		this.points.add(name + ": traffic", "KB/s", sizeUnit, size, load.kilobytesPerSecond());
+		this.points.add(name + ": cost", "µs of processor time for each call", sizeUnit, size, load.cpuMicrosPerCall());
+		this.points.add(name + ": size", "bytes for each call, both ways", sizeUnit, size, load.bytesPerCall());
+		this.points.add(name + ": failed", "calls", sizeUnit, size, load.failures());
+	}
+
+	private void fullFleet(InstanceDriver driver, StandinFleet fleet, ServedInstance instance) throws Exception {
+		int last = 0;
+		for (int workers : this.options.workers()) {
+			for (int number = last; number < workers; number++) {
+				fleet.addWorker(SampleFleet.worker(number));
+			}
+			int jobs = SampleFleet.jobs(workers);
+			int first = SampleFleet.jobs(last);
+			driver.drive(jobs - first, SETTLING.toNanos(),
+					(number) -> new Call("/v1/jobs", body(SampleFleet.job(first + number))));
+			TimeUnit.NANOSECONDS.sleep(SETTLING.toNanos());
+			memory("instance with workers and 2.12 jobs each", workers, instance);
+			last = workers;
+		}
+	}
+
+	private void memory(String name, int size, ServedInstance instance) throws Exception {
+		MemoryProbe.record(this.points, name, "workers", size, instance.pid());
+	}
+
+	private Call announcement(int number) {
+		WorkerSpec spec = SampleFleet.worker(number);
+		return new Call("/v1/workers", """
+				{"id":"%s","zone":"%s","rack":"%s","positionInRack":%d,"cores":%d,"memoryGib":%d,"accelerators":%d,\
+				"url":"%s/workers/%s","incarnation":"capacity"}""".formatted(spec.id(), spec.zone(), spec.rack(),
+				spec.positionInRack(), spec.cores(), spec.memoryGib(), spec.accelerators(), this.url, spec.id()));
+	}
+
+	private static Call target(int number) {
+		return new Call("/v1/targets",
+				"""
+						{"id":"jalan-%03d","service":"jalan","zone":"zone-%d","url":"%s","slots":8,"connections":64,"load":%d}"""
+					.formatted(number, number % 3, URI.create("http://127.0.0.1:9/targets/" + number), number % 8));
+	}
+
+	private static Call report(int number) {
+		return new Call("/v1/workers/" + SampleFleet.worker(0).id() + "/reports", """
+				{"reports":[{"job":"%s","token":1,"report":"usage","progressMs":%d,"checkpointedMs":0,\
+				"memoryGib":1}]}""".formatted(SampleFleet.job(number % REPORTED_JOBS).id(), number));
+	}
+
+	private static String body(JobSpec job) {
+		return """
+				{"id":"%s","account":"%s","class":"%s","accelerators":%d,"coresPerAccelerator":%d,\
+				"memoryGibPerAccelerator":%d,"runTime":"%s","urgency":"normal","checkpointable":true}""".formatted(
+				job.id(), job.account(), job.jobClass(), job.shape().accelerators(), job.shape().coresPerAccelerator(),
+				job.shape().memoryGibPerAccelerator(), DurationText.format(job.declaredRunTime()));
+	}
+
+	/** Work that outlasts the bench. */
+	private static final class LongWork implements WorkTable {
+
+		@Override
+		public Duration runTime(String job, Duration declared) {
+			return LONG_RUN;
+		}
+
+		@Override
+		public Duration serviceTime(String request) {
+			return Duration.ZERO;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/capacity/Measurement.java
@@ -0,0 +1,93 @@
+package io.verbenatrack.bench.capacity;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * One quantity, measured at several sizes in several runs.
+ *
+ * @param name names the quantity
+ * @param unit the unit of its values
+ * @param sizeUnit the unit of its sizes
+ * @param points the values at each size
+ */
+public record Measurement(String name, String unit, String sizeUnit, List<Point> points) {
+
+	public Measurement {
+		points = List.copyOf(points);
+		if (points.isEmpty()) {
+			throw new IllegalArgumentException("Measurement " + name + " has no points. Give one size or more.");
+		}
+	}
+
+	/**
+	 * The least-squares slope.
+	 * @return units for each unit of size, 0 when there is one size
+	 */
+	public double slope() {
+		double size = this.points.stream().mapToDouble(Point::size).average().orElseThrow();
+		double value = this.points.stream().mapToDouble(Point::mean).average().orElseThrow();
+		double covariance = 0;
+		double variance = 0;
+		for (Point point : this.points) {
+			covariance += (point.size() - size) * (point.mean() - value);
+			variance += (point.size() - size) * (point.size() - size);
+		}
+		return (variance != 0) ? covariance / variance : 0;
+	}
+
+	/**
+	 * The value on the fitted line.
+	 * @param size the size
+	 * @return the value there
+	 */
+	public double at(double size) {
+		double middle = this.points.stream().mapToDouble(Point::size).average().orElseThrow();
+		double value = this.points.stream().mapToDouble(Point::mean).average().orElseThrow();
+		return value + slope() * (size - middle);
+	}
+
+	/**
+	 * The mean at the largest size.
+	 * @return the value
+	 */
+	public double last() {
+		return this.points.getLast().mean();
+	}
+
+	String toRow() {
+		StringBuilder values = new StringBuilder();
+		for (Point point : this.points) {
+			values.append(values.isEmpty() ? "" : "; ")
+				.append(String.format(Locale.ROOT, "%.0f: %s ±%s", point.size(), Figures.text(point.mean()),
+						Figures.text(point.spread() / 2)));
+		}
+		return "| " + this.name + " | " + this.unit + " | " + this.sizeUnit + " | " + values + " | "
+				+ Figures.text(slope()) + " |";
+	}
+
+	/**
+	 * The values at one size.
+	 *
+	 * @param size the size
+	 * @param runs the value of each run
+	 */
+	public record Point(double size, List<Double> runs) {
+
+		public Point {
+			runs = List.copyOf(runs);
+		}
+
+		double mean() {
+			return this.runs.stream().mapToDouble(Double::doubleValue).average().orElse(Double.NaN);
+		}
+
+		double spread() {
+			double least = this.runs.stream().mapToDouble(Double::doubleValue).min().orElse(Double.NaN);
+			double most = this.runs.stream().mapToDouble(Double::doubleValue).max().orElse(Double.NaN);
+			return most - least;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/capacity/MemoryProbe.java
@@ -0,0 +1,22 @@
+package io.verbenatrack.bench.capacity;
+
+import java.io.IOException;
+
+/**
+ * Records the memory of processes.
+ */
+final class MemoryProbe {
+
+	private static final String UNIT = "MB";
+
+	private MemoryProbe() {
+	}
+
+	static void record(Points points, String name, String sizeUnit, int size, long pid) throws IOException {
+		ProcessFigures.Memory memory = ProcessFigures.memory(pid);
+		points.add(name + ": resident", UNIT, sizeUnit, size, memory.resident());
+		points.add(name + ": private", UNIT, sizeUnit, size, memory.unshared());
+		points.add(name + ": not backed by files", UNIT, sizeUnit, size, memory.anonymous());
+	}
+
+}
