Say what is stuck when a run ends without every outcome

Cause: one of the first process tests ended with a job without outcome and did not say why. Change: FailureLoad and local print the open jobs and the fleet. Conclusion: the cause is still open.

--- a/bench/src/main/java/io/verbenatrack/bench/process/FailureCaller.java
+++ b/bench/src/main/java/io/verbenatrack/bench/process/FailureCaller.java
@@ -92,15 +92,18 @@
 	}
 
 	boolean hasOutcome(String job) throws InterruptedException {
+		return show("/v1/jobs/" + job).contains("\"outcome\":\"finished\"");
+	}
+
+	String show(String path) throws InterruptedException {
 		try {
-			return this.client.newRequest(entry().resolve("/v1/jobs/" + job))
+			return this.client.newRequest(entry().resolve(path))
 				.timeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
 				.send()
-				.getContentAsString()
-				.contains("\"outcome\":\"finished\"");
+				.getContentAsString();
 		}
 		catch (TimeoutException | ExecutionException ex) {
-			return false;
+			return "no answer: " + ex;
 		}
 	}
 
--- a/bench/src/main/java/io/verbenatrack/bench/process/FailureLoad.java
+++ b/bench/src/main/java/io/verbenatrack/bench/process/FailureLoad.java
@@ -157,7 +157,13 @@
 			}
 			open = still;
 		}
-		open.forEach((job) -> System.out.println("VIOLATION " + job + " was accepted and has no outcome"));
+		for (String job : open) {
+			System.out
+				.println("VIOLATION " + job + " was accepted and has no outcome: " + caller.show("/v1/jobs/" + job));
+		}
+		if (!open.isEmpty()) {
+			System.out.println(caller.show("/v1/views/fleet"));
+		}
 		return open.size();
 	}
 
--- a/cli/src/main/java/io/verbenatrack/cli/local/LocalRun.java
+++ b/cli/src/main/java/io/verbenatrack/cli/local/LocalRun.java
@@ -143,6 +143,20 @@
 			TimeUnit.MILLISECONDS.sleep(SAMPLE_INTERVAL.toMillis());
 			observe();
 		}
+		explainWhatIsOpen();
+	}
+
+	private void explainWhatIsOpen() throws Exception {
+		if (this.jobOutcomes.size() == this.plan.jobs().size()) {
+			return;
+		}
+		this.progress.println();
+		for (JsonNode job : this.client.view("jobs").path("jobs")) {
+			if (!job.path("outcome").isObject()) {
+				this.progress.println("without outcome: " + job);
+			}
+		}
+		this.progress.println("fleet: " + this.client.view("fleet"));
 	}
 
 	private boolean isDone() {
