Go on after a failed turn of the scheduling thread

Cause: an exception in a decision would have ended the thread for good, while the instance kept leading and every job stood still; found by reading the loop. Change: a failed turn is logged with its stack, its callers learn that nothing was recorded, and the next session starts from the committed state. A finished shutdown is logged. Conclusion: a fault of one command costs that command, not the scheduler.

--- a/server/src/main/java/io/verbenatrack/server/DecisionMetrics.java
+++ b/server/src/main/java/io/verbenatrack/server/DecisionMetrics.java
@@ -1,14 +1,15 @@
 package io.verbenatrack.server;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.function.Consumer;
 
 import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.JobOutcome;
 import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.server.leader.DutyListener;
 import io.verbenatrack.telemetry.EventLog;
 import io.verbenatrack.telemetry.LogEvent;
 import io.verbenatrack.telemetry.MetricName;
@@ -17,7 +18,7 @@
 /**
  * Counts and logs the decisions that the leading replica carries out.
  */
-final class DecisionMetrics implements Consumer<SchedulingDecision> {
+final class DecisionMetrics implements DutyListener {
 
 	/** The account label of jobs that an earlier leader accepted. */
 	private static final String BEFORE_THIS_LEADER = "unknown";
@@ -34,7 +35,7 @@
 	}
 
 	@Override
-	public void accept(SchedulingDecision decision) {
+	public void decided(SchedulingDecision decision) {
 		switch (decision) {
 			case SchedulingDecision.AcceptJob accept -> {
 				this.accounts.put(accept.job().id(), accept.job().account());
@@ -62,6 +63,12 @@
 		}
 	}
 
+	@Override
+	public void failed(RuntimeException failure) {
+		this.events.write(LogEvent.THREAD_FAILED, new EventLog.Field("thread", Thread.currentThread().getName()),
+				new EventLog.Field("failure", failure), new EventLog.Field("at", List.of(failure.getStackTrace())));
+	}
+
 	private void ended(SchedulingDecision.EndJob end) {
 		String outcome = end.outcome().getClass().getSimpleName().toLowerCase(Locale.ROOT);
 		AccountId account = this.accounts.remove(end.job());
--- a/server/src/main/java/io/verbenatrack/server/GracefulShutdown.java
+++ b/server/src/main/java/io/verbenatrack/server/GracefulShutdown.java
@@ -56,4 +56,8 @@
 		}
 	}
 
+	void finished() {
+		this.events.write(LogEvent.INSTANCE_STOPPED);
+	}
+
 }
--- a/server/src/main/java/io/verbenatrack/server/Instance.java
+++ b/server/src/main/java/io/verbenatrack/server/Instance.java
@@ -59,6 +59,7 @@
 	public void shutdown() {
 		this.shutdown.run();
 		close();
+		this.shutdown.finished();
 	}
 
 	/**
--- a/server/src/main/java/io/verbenatrack/server/command/CommandProblems.java
+++ b/server/src/main/java/io/verbenatrack/server/command/CommandProblems.java
@@ -38,6 +38,17 @@
 				"Send the same again after a pause, or raise limits.ring-capacity.");
 	}
 
+	/**
+	 * The command made the leading replica fail.
+	 * @param failure what was thrown
+	 * @return the problem; nothing was recorded
+	 */
+	public static Problem internal(RuntimeException failure) {
+		return new Problem(ProblemKind.UNAVAILABLE,
+				"The leading replica failed on this command (" + failure + "), so nothing was recorded.",
+				"Report it with the event THREAD_FAILED of the leading replica's log.");
+	}
+
 	/**
 	 * Nothing has the identifier.
 	 * @param kind what was looked for
--- a/server/src/main/java/io/verbenatrack/server/leader/LeaderDuty.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/LeaderDuty.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.verbenatrack.control.Proposal;
@@ -46,6 +45,8 @@
 
 	private static final Duration LEASE_MARGIN = Duration.ofSeconds(2);
 
+	private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(200);
+
 	private final ReplicatedLog log;
 
 	private final JobsState jobs;
@@ -66,7 +67,7 @@
 
 	private final Supplier<Declarations> accepted;
 
-	private final Consumer<SchedulingDecision> observer;
+	private final DutyListener listener;
 
 	private final Queue<Queued> commands;
 
@@ -103,12 +104,12 @@
 	 * @param clock times leases
 	 * @param limits sizes and durations
 	 * @param accepted the declarations that a quorum accepted
-	 * @param observer hears each decision that is carried out
+	 * @param listener hears each decision that is carried out, and failures
 	 */
 	public LeaderDuty(ReplicatedLog log, JobsState jobs, RecordCodec codec, WorkerPort workers,
 			ScheduledExecutorService timer, InstantSource wallClock, MonotonicClock clock, LeaderLimits limits,
-			Supplier<Declarations> accepted, Consumer<SchedulingDecision> observer) {
-		this.observer = observer;
+			Supplier<Declarations> accepted, DutyListener listener) {
+		this.listener = listener;
 		this.log = log;
 		this.accepted = accepted;
 		this.jobs = jobs;
@@ -142,19 +143,33 @@
 
 	private void run() {
 		while (!this.stopped) {
-			int handled = handleFinished();
-			observeLeadership();
-			handled += handleCommands();
-			passTime();
-			propose();
-			if (handled == 0) {
-				LockSupport.parkNanos(this, TICK.toNanos());
+			try {
+				takeTurn();
+			}
+			catch (RuntimeException ex) {
+				// The decisions of the failed turn are dropped; the next session starts
+				// from
+				// what was committed.
+				this.listener.failed(ex);
+				endSession();
+				LockSupport.parkNanos(this, PAUSE_AFTER_FAILURE.toNanos());
 			}
 		}
 		endSession();
 		rejectCommands();
 	}
 
+	private void takeTurn() {
+		int handled = handleFinished();
+		observeLeadership();
+		handled += handleCommands();
+		passTime();
+		propose();
+		if (handled == 0) {
+			LockSupport.parkNanos(this, TICK.toNanos());
+		}
+	}
+
 	private void observeLeadership() {
 		if (this.session != null && (!this.log.leads() || this.log.term() != this.sessionTerm)) {
 			endSession();
@@ -204,8 +219,7 @@
 			if (queued == null) {
 				break;
 			}
-			EntryReply reply = decide(queued.command);
-			this.open.answerAfterCommit(queued.caller, reply);
+			this.open.answerAfterCommit(queued.caller, decideOrFail(queued));
 			handled++;
 		}
 		return handled;
@@ -220,6 +234,16 @@
 		return handled;
 	}
 
+	private EntryReply decideOrFail(Queued queued) {
+		try {
+			return decide(queued.command);
+		}
+		catch (RuntimeException ex) {
+			queued.caller.complete(new EntryReply.Failed(CommandProblems.internal(ex)));
+			throw ex;
+		}
+	}
+
 	private EntryReply decide(EntryCommand command) {
 		Instant now = this.wallClock.instant();
 		return switch (command) {
@@ -315,7 +339,7 @@
 	}
 
 	private void carryOut(SchedulingDecision decision) {
-		this.observer.accept(decision);
+		this.listener.decided(decision);
 		this.actions.after(decision).forEach(this.dispatcher::send);
 	}
 
--- /dev/null
+++ b/server/src/test/java/io/verbenatrack/server/leader/LeaderDutyTests.java
@@ -0,0 +1,189 @@
+package io.verbenatrack.server.leader;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.control.Proposal;
+import io.verbenatrack.control.ReplicatedLog;
+import io.verbenatrack.model.AccountDeclaration;
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.Declarations;
+import io.verbenatrack.model.FleetDefaults;
+import io.verbenatrack.model.GangShape;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.JobSpec;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.Urgency;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.scheduling.baseline.FirstFitScheduler;
+import io.verbenatrack.server.command.EntryCommand;
+import io.verbenatrack.server.command.EntryReply;
+import io.verbenatrack.server.log.CommandKind;
+import io.verbenatrack.server.log.ControlStateMachine;
+import io.verbenatrack.server.log.DecisionBatch;
+import io.verbenatrack.server.log.JobsState;
+import io.verbenatrack.state.RecordCodec;
+import io.verbenatrack.state.claims.ClaimState;
+import io.verbenatrack.state.configuration.ConfigurationState;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link LeaderDuty}.
+ */
+public class LeaderDutyTests {
+
+	private static final Declarations DECLARED = new Declarations(FleetDefaults.STANDARD,
+			List.of(new AccountDeclaration(new AccountId("a"), List.of(), 1, 0)), List.of());
+
+	private final RecordCodec codec = RecordCodec.cbor();
+
+	private final AtomicInteger failures = new AtomicInteger();
+
+	private JobsState jobs;
+
+	private FakeLog log;
+
+	private ScheduledExecutorService timer;
+
+	private LeaderDuty duty;
+
+	@BeforeMethod
+	public void start() {
+		this.failures.set(0);
+		this.jobs = new JobsState(FirstFitScheduler::new, this.codec);
+		this.log = new FakeLog(
+				new ControlStateMachine(new ConfigurationState(), new ClaimState(10, 10), this.jobs, this.codec));
+		this.timer = Executors.newSingleThreadScheduledExecutor();
+		this.duty = new LeaderDuty(this.log, this.jobs, this.codec,
+				(url, action) -> CompletableFuture.completedFuture(WorkerPort.Delivery.TAKEN), this.timer,
+				new FailingOnce(), MonotonicClock.system(), new LeaderLimits(16, 10, Duration.ofSeconds(10)),
+				() -> DECLARED, new CountingListener());
+		this.duty.start();
+	}
+
+	@AfterMethod
+	public void stop() {
+		this.duty.close();
+		this.timer.shutdownNow();
+	}
+
+	@Test
+	public void failedTurnIsReportedAndTheNextSessionGoesOn() throws Exception {
+		assertThat(submitUntilTaken("j")).isInstanceOf(EntryReply.JobStatus.class);
+		assertThat(this.failures).hasValue(1);
+		assertThat(this.jobs.view().jobs()).hasSize(1);
+	}
+
+	@Test
+	public void batchDecidedOnAStateThatNeverCameToBeIsNotApplied() {
+		byte[] late = this.codec.encode(new DecisionBatch(77, List.of()));
+		byte[] result = this.log.machine.apply(1, CommandKind.DECISIONS.frame(late));
+		assertThat(JobsState.isApplied(result)).isFalse();
+	}
+
+	@Test
+	public void submissionIsAnsweredOnlyAfterItsEntryCommitted() throws Exception {
+		EntryReply reply = submitUntilTaken("k");
+		assertThat(reply).isInstanceOf(EntryReply.JobStatus.class);
+		assertThat(this.jobs.view().jobs()).extracting((job) -> job.job().id()).containsExactly(new JobId("k"));
+	}
+
+	private EntryReply submitUntilTaken(String id) throws Exception {
+		JobSpec job = new JobSpec(new JobId(id), new AccountId("a"), "c", new GangShape(1, 1, 1), Duration.ofSeconds(1),
+				Urgency.NORMAL, true);
+		for (int attempt = 0; attempt < 10_000_000; attempt++) {
+			EntryReply reply = this.duty.execute(new EntryCommand.SubmitJob(job)).get(10, TimeUnit.SECONDS);
+			if (!(reply instanceof EntryReply.NotLeading) && !(reply instanceof EntryReply.Failed)) {
+				return reply;
+			}
+			Thread.onSpinWait();
+		}
+		throw new AssertionError("The duty never took the job.");
+	}
+
+	private final class CountingListener implements DutyListener {
+
+		@Override
+		public void decided(SchedulingDecision decision) {
+		}
+
+		@Override
+		public void failed(RuntimeException failure) {
+			LeaderDutyTests.this.failures.incrementAndGet();
+		}
+
+	}
+
+	/** A clock whose first reading fails, as a fault inside a turn does. */
+	private static final class FailingOnce implements InstantSource {
+
+		private final AtomicInteger readings = new AtomicInteger();
+
+		@Override
+		public Instant instant() {
+			if (this.readings.getAndIncrement() == 0) {
+				throw new IllegalStateException("The first reading fails.");
+			}
+			return Instant.EPOCH;
+		}
+
+	}
+
+	private static final class FakeLog implements ReplicatedLog {
+
+		private final ControlStateMachine machine;
+
+		private long index;
+
+		private FakeLog(ControlStateMachine machine) {
+			this.machine = machine;
+		}
+
+		@Override
+		public synchronized CompletableFuture<Proposal> propose(byte[] command) {
+			this.index++;
+			byte[] result = this.machine.apply(this.index, command);
+			return CompletableFuture.completedFuture(new Proposal.Committed(this.index, result));
+		}
+
+		@Override
+		public CompletableFuture<Optional<Long>> confirmLeadership() {
+			return CompletableFuture.completedFuture(Optional.of(1L));
+		}
+
+		@Override
+		public Optional<InstanceId> leader() {
+			return Optional.of(new InstanceId("i"));
+		}
+
+		@Override
+		public boolean leads() {
+			return true;
+		}
+
+		@Override
+		public long term() {
+			return 1;
+		}
+
+		@Override
+		public void close() {
+		}
+
+	}
+
+}
