--- a/server/src/main/java/io/verbenatrack/server/ControlModule.java
+++ b/server/src/main/java/io/verbenatrack/server/ControlModule.java
@@ -151,9 +151,10 @@
 	@Provides
 	@InstanceScope
 	static Optional<LocalExecutor> local(Optional<Replica> replica, Optional<LeaderDuty> duty,
-			ConfigurationState configuration, JobsState jobs, RecordCodec codec, InstantSource wallClock) {
+			ConfigurationState configuration, ClaimState claims, JobsState jobs, RecordCodec codec,
+			InstantSource wallClock) {
 		return duty.map((scheduling) -> new LocalExecutor(scheduling,
-				new ReplicatedCommands(replica.orElseThrow(), configuration, jobs, codec, wallClock)));
+				new ReplicatedCommands(replica.orElseThrow(), configuration, claims, jobs, codec, wallClock)));
 	}
 
 	@Provides
--- a/server/src/main/java/io/verbenatrack/server/HttpModule.java
+++ b/server/src/main/java/io/verbenatrack/server/HttpModule.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 
 import dagger.Module;
 import dagger.Provides;
@@ -28,6 +29,7 @@
 import io.verbenatrack.server.http.ViewRoutes;
 import io.verbenatrack.server.http.WorkerRoutes;
 import io.verbenatrack.server.leader.LeaderDuty;
+import io.verbenatrack.server.leader.LocalExecutor;
 import io.verbenatrack.server.peer.LeaderGateway;
 import io.verbenatrack.server.peer.PeerListener;
 import io.verbenatrack.server.routing.RequestRouting;
@@ -42,6 +44,8 @@
 @Module
 final class HttpModule {
 
+	private static final long CLAIM_EXPIRY_SECONDS = 30;
+
 	private HttpModule() {
 	}
 
@@ -88,14 +92,16 @@
 
 	@Provides
 	@InstanceScope
-	static Duties duties(Optional<LeaderDuty> duty, HttpClient client, PeerListener peers, PeerExchange exchange,
-			ConfigurationRenewal renewal, ScheduledExecutorService timer) {
+	static Duties duties(Optional<LeaderDuty> duty, Optional<LocalExecutor> local, HttpClient client,
+			PeerListener peers, PeerExchange exchange, ConfigurationRenewal renewal, ScheduledExecutorService timer) {
 		return () -> {
 			client.start();
 			peers.open();
 			duty.ifPresent(LeaderDuty::start);
 			renewal.start();
 			exchange.start(timer);
+			local.ifPresent((replica) -> timer.scheduleWithFixedDelay(replica::expireClaims, CLAIM_EXPIRY_SECONDS,
+					CLAIM_EXPIRY_SECONDS, TimeUnit.SECONDS));
 		};
 	}
 
--- a/server/src/main/java/io/verbenatrack/server/leader/LocalExecutor.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/LocalExecutor.java
@@ -33,4 +33,11 @@
 		return this.scheduling.execute(command);
 	}
 
+	/**
+	 * Forgets claims and answers whose time is over, if this replica leads.
+	 */
+	public void expireClaims() {
+		this.replicated.expireClaims();
+	}
+
 }
--- a/server/src/main/java/io/verbenatrack/server/leader/ReplicatedCommands.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/ReplicatedCommands.java
@@ -28,6 +28,7 @@
 import io.verbenatrack.state.RecordCodec;
 import io.verbenatrack.state.claims.ClaimCodec;
 import io.verbenatrack.state.claims.ClaimReply;
+import io.verbenatrack.state.claims.ClaimState;
 import io.verbenatrack.state.configuration.ChangeResult;
 import io.verbenatrack.state.configuration.ConfigurationCodec;
 import io.verbenatrack.state.configuration.ConfigurationInForce;
@@ -42,6 +43,8 @@
 
 	private final ConfigurationState configuration;
 
+	private final ClaimState claims;
+
 	private final JobsState jobs;
 
 	private final RecordCodec codec;
@@ -52,14 +55,16 @@
 	 * Creates the executor.
 	 * @param log takes the commands
 	 * @param configuration the accepted declarations
+	 * @param claims the claims on requests
 	 * @param jobs the workers that guarantees must fit into
 	 * @param codec encodes kept answers
 	 * @param wallClock dates the expiry of claims
 	 */
-	public ReplicatedCommands(ReplicatedLog log, ConfigurationState configuration, JobsState jobs, RecordCodec codec,
-			InstantSource wallClock) {
+	public ReplicatedCommands(ReplicatedLog log, ConfigurationState configuration, ClaimState claims, JobsState jobs,
+			RecordCodec codec, InstantSource wallClock) {
 		this.log = log;
 		this.configuration = configuration;
+		this.claims = claims;
 		this.jobs = jobs;
 		this.codec = codec;
 		this.wallClock = wallClock;
@@ -166,10 +171,11 @@
 	}
 
 	/**
-	 * Proposes that old claims be forgotten; only the leading replica does so.
+	 * Proposes that old claims be forgotten; only the leading replica does so, and only
+	 * while there are claims.
 	 */
 	public void expireClaims() {
-		if (this.log.leads()) {
+		if (this.log.leads() && this.claims.size() > 0) {
 			propose(CommandKind.CLAIM, ClaimCodec.expire(this.wallClock.instant()), this::claimReply);
 		}
 	}
--- /dev/null
+++ b/server/src/test/java/io/verbenatrack/server/leader/FakeLog.java
@@ -0,0 +1,59 @@
+package io.verbenatrack.server.leader;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenatrack.control.Proposal;
+import io.verbenatrack.control.ReplicatedLog;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.server.log.ControlStateMachine;
+
+/**
+ * A log of one replica that commits at once.
+ */
+final class FakeLog implements ReplicatedLog {
+
+	private final ControlStateMachine machine;
+
+	private long index;
+
+	FakeLog(ControlStateMachine machine) {
+		this.machine = machine;
+	}
+
+	@Override
+	public synchronized CompletableFuture<Proposal> propose(byte[] command) {
+		this.index++;
+		byte[] result = this.machine.apply(this.index, command);
+		return CompletableFuture.completedFuture(new Proposal.Committed(this.index, result));
+	}
+
+	@Override
+	public CompletableFuture<Optional<Long>> confirmLeadership() {
+		return CompletableFuture.completedFuture(Optional.of(1L));
+	}
+
+	@Override
+	public Optional<InstanceId> leader() {
+		return Optional.of(new InstanceId("i"));
+	}
+
+	@Override
+	public boolean leads() {
+		return true;
+	}
+
+	@Override
+	public long term() {
+		return 1;
+	}
+
+	@Override
+	public void close() {
+	}
+
+	ControlStateMachine machine() {
+		return this.machine;
+	}
+
+}
--- a/server/src/test/java/io/verbenatrack/server/leader/LeaderDutyTests.java
+++ b/server/src/test/java/io/verbenatrack/server/leader/LeaderDutyTests.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -15,14 +14,11 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-import io.verbenatrack.control.Proposal;
-import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.model.AccountDeclaration;
 import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.Declarations;
 import io.verbenatrack.model.FleetDefaults;
 import io.verbenatrack.model.GangShape;
-import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.JobSpec;
 import io.verbenatrack.model.MonotonicClock;
@@ -91,7 +87,7 @@
 	@Test
 	public void batchDecidedOnAStateThatNeverCameToBeIsNotApplied() {
 		byte[] late = this.codec.encode(new DecisionBatch(77, List.of()));
-		byte[] result = this.log.machine.apply(1, CommandKind.DECISIONS.frame(late));
+		byte[] result = this.log.machine().apply(1, CommandKind.DECISIONS.frame(late));
 		assertThat(JobsState.isApplied(result)).isFalse();
 	}
 
@@ -143,47 +139,4 @@
 
 	}
 
-	private static final class FakeLog implements ReplicatedLog {
-
-		private final ControlStateMachine machine;
-
-		private long index;
-
-		private FakeLog(ControlStateMachine machine) {
-			this.machine = machine;
-		}
-
-		@Override
-		public synchronized CompletableFuture<Proposal> propose(byte[] command) {
-			this.index++;
-			byte[] result = this.machine.apply(this.index, command);
-			return CompletableFuture.completedFuture(new Proposal.Committed(this.index, result));
-		}
-
-		@Override
-		public CompletableFuture<Optional<Long>> confirmLeadership() {
-			return CompletableFuture.completedFuture(Optional.of(1L));
-		}
-
-		@Override
-		public Optional<InstanceId> leader() {
-			return Optional.of(new InstanceId("i"));
-		}
-
-		@Override
-		public boolean leads() {
-			return true;
-		}
-
-		@Override
-		public long term() {
-			return 1;
-		}
-
-		@Override
-		public void close() {
-		}
-
-	}
-
 }
