Bound unfinished jobs as the settings say

Cause: limits.unfinished-jobs and unfinished-jobs-per-account were read and documented, but nothing looked at them. Change: the leading replica refuses a job over either limit; a resend of a known one is answered as before.

--- a/server/src/main/java/io/verbenatrack/server/ControlModule.java
+++ b/server/src/main/java/io/verbenatrack/server/ControlModule.java
@@ -133,7 +133,7 @@
 			EventLog events, Closer closer) {
 		return replica.map((log) -> {
 			LeaderLimits limits = new LeaderLimits(settings.limits().ringCapacity(), settings.limits().workers(),
-					WORKER_LEASE);
+					settings.limits().unfinishedJobs(), settings.limits().unfinishedJobsPerAccount(), WORKER_LEASE);
 			HttpWorkerPort workers = new HttpWorkerPort(client, format, WORKER_LEASE);
 			LeaderDuty duty = new LeaderDuty(log, jobs, codec, workers, timer, wallClock, clock, limits,
 					accepted::declarations, new DecisionMetrics(metrics, events));
--- a/server/src/main/java/io/verbenatrack/server/leader/LeaderDuty.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/LeaderDuty.java
@@ -194,7 +194,7 @@
 		this.sequence = copy.sequence();
 		this.open = new PendingBatch();
 		this.newestInFlight = null;
-		this.session = new SchedulingSession(copy.scheduler(), this.leases, this.limits.workers());
+		this.session = new SchedulingSession(copy.scheduler(), this.leases, this.limits);
 		this.leases.adopt(this.session.workers(), this.clock.nanoTime());
 		this.actions.adopt(copy.scheduler().view()).forEach(this.dispatcher::send);
 		this.session.adopt(this.accepted.get(), this.wallClock.instant(), this.open);
--- a/server/src/main/java/io/verbenatrack/server/leader/SchedulingSession.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/SchedulingSession.java
@@ -11,6 +11,7 @@
 import io.verbenatrack.model.ProblemKind;
 import io.verbenatrack.model.WorkerId;
 import io.verbenatrack.scheduling.Scheduler;
+import io.verbenatrack.scheduling.SchedulingDecision;
 import io.verbenatrack.scheduling.SchedulingEvent;
 import io.verbenatrack.scheduling.SchedulingView;
 import io.verbenatrack.server.command.CommandProblems;
@@ -29,10 +30,20 @@
 
 	private final int maximumWorkers;
 
-	SchedulingSession(Scheduler scheduler, WorkerLeases leases, int maximumWorkers) {
+	private final UnfinishedJobs unfinished;
+
+	SchedulingSession(Scheduler scheduler, WorkerLeases leases, LeaderLimits limits) {
 		this.scheduler = scheduler;
 		this.leases = leases;
-		this.maximumWorkers = maximumWorkers;
+		this.maximumWorkers = limits.workers();
+		this.unfinished = new UnfinishedJobs(limits.unfinishedJobs(), limits.unfinishedJobsPerAccount(),
+				scheduler.view());
+	}
+
+	private void decide(SchedulingEvent event, Instant now, PendingBatch batch) {
+		List<SchedulingDecision> decisions = this.scheduler.decide(event, now);
+		this.unfinished.follow(decisions);
+		batch.add(decisions);
 	}
 
 	EntryReply submit(JobSpec job, Instant now, PendingBatch batch) {
@@ -41,8 +52,12 @@
 			return new EntryReply.Failed(new Problem(ProblemKind.CONFLICT,
 					"Job " + job.id() + " exists with another content.", "Choose a new id for a new job."));
 		}
+		Optional<Problem> obstacle = this.unfinished.obstacle(job.account());
+		if (known.isEmpty() && obstacle.isPresent()) {
+			return new EntryReply.Failed(obstacle.get());
+		}
 		if (known.isEmpty()) {
-			batch.add(this.scheduler.decide(new SchedulingEvent.JobSubmitted(job), now));
+			decide(new SchedulingEvent.JobSubmitted(job), now, batch);
 		}
 		return status(job);
 	}
@@ -55,7 +70,7 @@
 		if (this.scheduler.job(cancel.job()).isEmpty()) {
 			return notFound(cancel.job());
 		}
-		batch.add(this.scheduler.decide(new SchedulingEvent.JobCancelled(cancel.job()), now));
+		decide(new SchedulingEvent.JobCancelled(cancel.job()), now, batch);
 		return find(new EntryCommand.FindJob(cancel.job()));
 	}
 
@@ -82,9 +97,9 @@
 		}
 		boolean restarted = this.leases.renew(worker, announce.url(), announce.incarnation(), nowNanos);
 		if (restarted) {
-			batch.add(this.scheduler.decide(new SchedulingEvent.WorkerLost(worker), now));
+			decide(new SchedulingEvent.WorkerLost(worker), now, batch);
 		}
-		batch.add(this.scheduler.decide(new SchedulingEvent.WorkerAnnounced(announce.worker()), now));
+		decide(new SchedulingEvent.WorkerAnnounced(announce.worker()), now, batch);
 		return new EntryReply.WorkerLease(this.leases.lease());
 	}
 
@@ -92,13 +107,13 @@
 		if (!this.leases.isKnown(drain.worker())) {
 			return new EntryReply.Failed(CommandProblems.notFound("worker", drain.worker()));
 		}
-		batch.add(this.scheduler.decide(new SchedulingEvent.WorkerDraining(drain.worker()), now));
+		decide(new SchedulingEvent.WorkerDraining(drain.worker()), now, batch);
 		return new EntryReply.Recorded();
 	}
 
 	EntryReply report(EntryCommand.ReportMembers command, Instant now, PendingBatch batch) {
 		for (WorkerReport report : command.reports()) {
-			batch.add(this.scheduler.decide(event(command.worker(), report), now));
+			decide(event(command.worker(), report), now, batch);
 		}
 		return new EntryReply.Recorded();
 	}
@@ -113,15 +128,15 @@
 	}
 
 	EntryReply adopt(Declarations declarations, Instant now, PendingBatch batch) {
-		batch.add(this.scheduler.decide(new SchedulingEvent.DeclarationsInForce(declarations), now));
+		decide(new SchedulingEvent.DeclarationsInForce(declarations), now, batch);
 		return new EntryReply.Recorded();
 	}
 
 	void passTime(Instant now, long nowNanos, PendingBatch batch) {
 		for (WorkerId worker : this.leases.removeExpired(nowNanos)) {
-			batch.add(this.scheduler.decide(new SchedulingEvent.WorkerLost(worker), now));
+			decide(new SchedulingEvent.WorkerLost(worker), now, batch);
 		}
-		batch.add(this.scheduler.decide(new SchedulingEvent.TimePassed(), now));
+		decide(new SchedulingEvent.TimePassed(), now, batch);
 	}
 
 	SchedulingView view() {
--- /dev/null
+++ b/server/src/main/java/io/verbenatrack/server/leader/UnfinishedJobs.java
@@ -0,0 +1,80 @@
+package io.verbenatrack.server.leader;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.JobSpec;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.scheduling.SchedulingDecision;
+import io.verbenatrack.scheduling.SchedulingView;
+
+/**
+ * Bounds how many jobs are accepted and not finished, in all and for each client account.
+ */
+final class UnfinishedJobs {
+
+	private final int maximum;
+
+	private final int maximumPerAccount;
+
+	private final Map<JobId, AccountId> open = new HashMap<>();
+
+	private final Map<AccountId, Integer> byAccount = new HashMap<>();
+
+	UnfinishedJobs(int maximum, int maximumPerAccount, SchedulingView view) {
+		this.maximum = maximum;
+		this.maximumPerAccount = maximumPerAccount;
+		view.jobs().stream().filter((job) -> job.outcome().isEmpty()).forEach((job) -> add(job.job()));
+	}
+
+	/**
+	 * Why another job of an account is not taken.
+	 * @param account the account
+	 * @return the problem, or empty when the job may be taken
+	 */
+	Optional<Problem> obstacle(AccountId account) {
+		if (this.open.size() >= this.maximum) {
+			return Optional.of(overloaded("The system holds " + this.maximum + " unfinished jobs", "unfinished-jobs"));
+		}
+		if (this.byAccount.getOrDefault(account, 0) >= this.maximumPerAccount) {
+			return Optional
+				.of(overloaded("Client account " + account + " holds " + this.maximumPerAccount + " unfinished jobs",
+						"unfinished-jobs-per-account"));
+		}
+		return Optional.empty();
+	}
+
+	private static Problem overloaded(String found, String limit) {
+		return new Problem(ProblemKind.OVERLOADED, found + ", so this one was not taken.",
+				"Submit it again when some have finished, or raise limits." + limit + ".");
+	}
+
+	void follow(List<SchedulingDecision> decisions) {
+		for (SchedulingDecision decision : decisions) {
+			if (decision instanceof SchedulingDecision.AcceptJob accept) {
+				add(accept.job());
+			}
+			else if (decision instanceof SchedulingDecision.EndJob end) {
+				remove(end.job());
+			}
+		}
+	}
+
+	private void add(JobSpec job) {
+		this.open.put(job.id(), job.account());
+		this.byAccount.merge(job.account(), 1, Integer::sum);
+	}
+
+	private void remove(JobId job) {
+		AccountId account = this.open.remove(job);
+		if (account != null) {
+			this.byAccount.merge(account, -1, Integer::sum);
+		}
+	}
+
+}
--- a/server/src/test/java/io/verbenatrack/server/leader/LeaderDutyTests.java
+++ b/server/src/test/java/io/verbenatrack/server/leader/LeaderDutyTests.java
@@ -66,7 +66,7 @@
 		this.timer = Executors.newSingleThreadScheduledExecutor();
 		this.duty = new LeaderDuty(this.log, this.jobs, this.codec,
 				(url, action) -> CompletableFuture.completedFuture(WorkerPort.Delivery.TAKEN), this.timer,
-				new FailingOnce(), MonotonicClock.system(), new LeaderLimits(16, 10, Duration.ofSeconds(10)),
+				new FailingOnce(), MonotonicClock.system(), new LeaderLimits(16, 10, 2, 1, Duration.ofSeconds(10)),
 				() -> DECLARED, new CountingListener());
 		this.duty.start();
 	}
@@ -98,11 +98,22 @@
 		assertThat(this.jobs.view().jobs()).extracting((job) -> job.job().id()).containsExactly(new JobId("k"));
 	}
 
-	private EntryReply submitUntilTaken(String id) throws Exception {
-		JobSpec job = new JobSpec(new JobId(id), new AccountId("a"), "c", new GangShape(1, 1, 1), Duration.ofSeconds(1),
+	@Test
+	public void jobOverTheLimitOfItsAccountIsRefusedAndAResendOfAKnownOneIsNot() throws Exception {
+		submitUntilTaken("first");
+		EntryReply second = this.duty.execute(new EntryCommand.SubmitJob(job("second"))).get(10, TimeUnit.SECONDS);
+		assertThat(second).isInstanceOf(EntryReply.Failed.class);
+		assertThat(submitUntilTaken("first")).isInstanceOf(EntryReply.JobStatus.class);
+	}
+
+	private static JobSpec job(String id) {
+		return new JobSpec(new JobId(id), new AccountId("a"), "c", new GangShape(1, 1, 1), Duration.ofSeconds(1),
 				Urgency.NORMAL, true);
+	}
+
+	private EntryReply submitUntilTaken(String id) throws Exception {
 		for (int attempt = 0; attempt < 10_000_000; attempt++) {
-			EntryReply reply = this.duty.execute(new EntryCommand.SubmitJob(job)).get(10, TimeUnit.SECONDS);
+			EntryReply reply = this.duty.execute(new EntryCommand.SubmitJob(job(id))).get(10, TimeUnit.SECONDS);
 			if (!(reply instanceof EntryReply.NotLeading) && !(reply instanceof EntryReply.Failed)) {
 				return reply;
 			}
