Require every scheduler to replay its state exactly

Cause: Scheduler.replay and job had lossy or slow defaults that every policy overrides, so a new one could have taken over a leader's state wrongly without an error.

--- a/scheduling/src/main/java/io/verbenatrack/scheduling/Scheduler.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/Scheduler.java
@@ -40,17 +40,13 @@
 	 * The decisions that recreate this state in a fresh scheduler.
 	 * @return the decisions in order
 	 */
-	default List<SchedulingDecision> replay() {
-		return ReplayDecisions.of(view());
-	}
+	List<SchedulingDecision> replay();
 
 	/**
 	 * Finds one job.
 	 * @param id the job
 	 * @return what operators see of it, if it is known
 	 */
-	default Optional<SchedulingView.JobView> job(JobId id) {
-		return view().jobs().stream().filter((job) -> job.job().id().equals(id)).findFirst();
-	}
+	Optional<SchedulingView.JobView> job(JobId id);
 
 }
