--- a/server/src/main/java/io/verbenatrack/server/ReplicaEvents.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/ReplicaEvents.java
@@ -1,6 +1,5 @@
-package io.verbenatrack.server;
+package io.verbenatrack.control.driver;
 
-import io.verbenatrack.control.driver.ReplicaListener;
 import io.verbenatrack.control.replica.ReplicaNotice;
 import io.verbenatrack.telemetry.EventLog;
 import io.verbenatrack.telemetry.LogEvent;
@@ -8,11 +7,15 @@
 /**
  * Logs what the replica of this instance tells its operators.
  */
-final class ReplicaEvents implements ReplicaListener {
+public final class ReplicaEvents implements ReplicaListener {
 
 	private final EventLog events;
 
-	ReplicaEvents(EventLog events) {
+	/**
+	 * Creates a listener.
+	 * @param events takes the events
+	 */
+	public ReplicaEvents(EventLog events) {
 		this.events = events;
 	}
 
--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/model/ConfigurationRule.java
@@ -0,0 +1,61 @@
+package io.verbenatrack.fleet.model;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.model.ServiceId;
+
+/**
+ * Decides whether a configuration can be in force.
+ */
+public final class ConfigurationRule {
+
+	private ConfigurationRule() {
+	}
+
+	/**
+	 * Looks for the first contradiction.
+	 * @param configuration the configuration
+	 * @return why it is refused, or empty when it can be in force
+	 */
+	public static Optional<Problem> problem(FleetConfiguration configuration) {
+		Set<ServiceId> services = configuration.pools().stream().map(WorkerPool::service).collect(Collectors.toSet());
+		Set<String> places = new HashSet<>();
+		Set<String> names = new HashSet<>();
+		for (Queue queue : configuration.queues()) {
+			if (!services.contains(queue.service())) {
+				return invalid("queue " + queue.name() + " names the unknown service " + queue.service(),
+						"Add the service or correct its name.");
+			}
+			if (!places.add(queue.host().toLowerCase(java.util.Locale.ROOT) + queue.pathPrefix())) {
+				return invalid("two queues share host " + queue.host() + " and prefix " + queue.pathPrefix(),
+						"Give each queue a place of its own.");
+			}
+			if (!names.add(queue.name())) {
+				return invalid("two queues are called " + queue.name(), "Give each queue a name of its own.");
+			}
+			if (queue.timeoutMillis() <= 0) {
+				return invalid("queue " + queue.name() + " has no timeout", "Set a timeout above 0.");
+			}
+		}
+		Set<String> keys = new HashSet<>();
+		for (FleetAccount account : configuration.accounts()) {
+			for (String key : account.keys()) {
+				if (!keys.add(key)) {
+					return invalid("two client accounts share a key, one of them is " + account.account(),
+							"Give each client account keys of its own.");
+				}
+			}
+		}
+		return Optional.empty();
+	}
+
+	private static Optional<Problem> invalid(String message, String remedy) {
+		return Optional.of(new Problem(ProblemKind.INVALID, message, remedy));
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
@@ -0,0 +1,193 @@
+package io.verbenatrack.fleet.policy;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.verbenatrack.fleet.model.ReportedEnd;
+import io.verbenatrack.fleet.model.ReportedRun;
+import io.verbenatrack.fleet.model.RunEnd;
+import io.verbenatrack.fleet.model.TaskId;
+import io.verbenatrack.fleet.model.WorkerLife;
+import io.verbenatrack.fleet.model.WorkerOrders;
+import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.state.FleetCommand;
+import io.verbenatrack.fleet.state.FleetState;
+import io.verbenatrack.fleet.state.JobState;
+import io.verbenatrack.fleet.state.StepState;
+import io.verbenatrack.fleet.state.TaskState;
+import io.verbenatrack.model.WorkerId;
+
+/**
+ * Decides on the fleet during one term of a leader. Orders are derived from the committed
+ * state alone, so that nothing starts that a later leader would not know of.
+ */
+public final class FleetLeader {
+
+	/** An order that is under way for longer than this many reports was lost. */
+	private static final int UNLISTED_REPORTS = 3;
+
+	private final FleetState state;
+
+	private final FleetTimings timings;
+
+	private final WorkerBoard board;
+
+	private final long term;
+
+	private Set<TaskId> preempted = Set.of();
+
+	/**
+	 * Begins a term.
+	 * @param state the replicated state, changed by nobody else while this decides
+	 * @param timings how long to wait
+	 * @param term the term, which is the fence of all orders
+	 * @param nowNanos when the term began, by the monotonic clock
+	 */
+	public FleetLeader(FleetState state, FleetTimings timings, long term, long nowNanos) {
+		this.state = state;
+		this.timings = timings;
+		this.term = term;
+		this.board = new WorkerBoard(nowNanos, timings.worstLeaseNanos());
+	}
+
+	/**
+	 * Takes a heartbeat.
+	 * @param report what the worker says
+	 * @param nowNanos when it arrived
+	 * @return what is to be recorded before the worker is answered; empty when the report
+	 * is out of date and gets no orders
+	 */
+	public Optional<List<FleetCommand>> heard(WorkerReport report, long nowNanos) {
+		Optional<KnownWorker> known = this.board.heard(report, nowNanos);
+		return known.map((worker) -> record(worker, report, nowNanos));
+	}
+
+	private List<FleetCommand> record(KnownWorker worker, WorkerReport report, long nowNanos) {
+		List<FleetCommand> commands = new ArrayList<>();
+		Set<TaskId> ended = new HashSet<>();
+		for (ReportedEnd end : report.ended()) {
+			FleetCommand.EndRun command = new FleetCommand.EndRun(end.task(), end.run(), report.life(), end.how(),
+					end.checkpoint());
+			if (this.state.runs(command) && ended.add(end.task())) {
+				commands.add(command);
+				worker.ended(end.task().job(), end.how(), nowNanos);
+			}
+		}
+		this.state.runsOn(report.life()).forEach((task, run) -> {
+			if (worker.reportsRunning(task, run) || ended.contains(task)) {
+				worker.listed(task);
+			}
+			else if (worker.countUnlisted(task) >= UNLISTED_REPORTS && !wanted(worker, task)) {
+				commands.add(new FleetCommand.EndRun(task, run, report.life(), RunEnd.LOST, ""));
+			}
+		});
+		return commands;
+	}
+
+	// Whether a run that the worker does not list yet should still start there.
+	private boolean wanted(KnownWorker worker, TaskId task) {
+		return !worker.report().draining() && !this.preempted.contains(task)
+				&& this.state.job(task.job()).filter((job) -> !job.phase().ended()).isPresent();
+	}
+
+	/**
+	 * Takes note that a worker leaves.
+	 * @param worker the worker
+	 * @param nowNanos when it said so
+	 */
+	public void left(WorkerId worker, long nowNanos) {
+		this.board.worker(worker).ifPresent((known) -> known.leave(nowNanos));
+	}
+
+	/**
+	 * Finds the runs whose worker is gone for sure.
+	 * @param nowNanos the time
+	 * @return their ends
+	 */
+	public List<FleetCommand> lostRuns(long nowNanos) {
+		List<FleetCommand> commands = new ArrayList<>();
+		for (WorkerLife life : this.state.livesInUse()) {
+			if (this.board.dead(life, nowNanos)) {
+				Optional<KnownWorker> known = this.board.worker(life.worker())
+					.filter((worker) -> worker.life().equals(life));
+				this.state.runsOn(life)
+					.forEach((task, run) -> commands.add(new FleetCommand.EndRun(task, run, life, RunEnd.LOST,
+							known.map((worker) -> worker.checkpoint(task, run)).orElse(""))));
+			}
+		}
+		this.board.dropGone(nowNanos);
+		return commands;
+	}
+
+	/**
+	 * Decides what starts now.
+	 * @param nowNanos the time of the monotonic clock
+	 * @param nowMillis the time in milliseconds since 1970
+	 * @return the starts; they leave with the answers to the workers' next heartbeats
+	 */
+	public List<FleetCommand> place(long nowNanos, long nowMillis) {
+		PlacementPass pass = new PlacementPass(this.state, this.board, this.timings, this.preempted, nowNanos,
+				nowMillis);
+		pass.run();
+		this.preempted = pass.preempted();
+		return List.copyOf(pass.starts());
+	}
+
+	/**
+	 * Answers a heartbeat whose ends are recorded.
+	 * @param report the heartbeat
+	 * @return the orders
+	 */
+	public WorkerOrders orders(WorkerReport report) {
+		KnownWorker worker = this.board.worker(report.life().worker())
+			.filter((known) -> known.report() == report)
+			.orElse(null);
+		if (worker == null) {
+			return new WorkerOrders(0, 0, this.term, List.of(), List.of(), this.timings.report().toMillis());
+		}
+		this.board.extendLease(worker, worker.heardNanos());
+		long takenNote = report.ended().stream().mapToLong(ReportedEnd::number).max().orElse(0);
+		List<WorkerOrders.Start> starts = new ArrayList<>();
+		List<WorkerOrders.Stop> stops = new ArrayList<>();
+		Map<TaskId, Integer> known = this.state.runsOn(report.life());
+		known.forEach((task, run) -> {
+			boolean listed = worker.reportsRunning(task, run);
+			if (!wantedAtAll(task) || (!listed && report.draining())) {
+				stops.add(new WorkerOrders.Stop(task, run));
+			}
+			else if (!listed) {
+				starts.add(start(task, run));
+			}
+		});
+		for (ReportedRun running : report.running()) {
+			if (!Integer.valueOf(running.run()).equals(known.get(running.task())) && !finished(running.task())) {
+				stops.add(new WorkerOrders.Stop(running.task(), running.run()));
+			}
+		}
+		return new WorkerOrders(this.timings.lease().toMillis(), takenNote, this.term, starts, stops,
+				this.timings.report().toMillis());
+	}
+
+	// The members of a gang end together; once one end is known the others need no stop.
+	private boolean finished(TaskId task) {
+		return this.state.step(task).filter((step) -> step.spec().gang() && step.done()).isPresent();
+	}
+
+	private boolean wantedAtAll(TaskId task) {
+		return !this.preempted.contains(task)
+				&& this.state.job(task.job()).filter((job) -> !job.phase().ended()).isPresent();
+	}
+
+	private WorkerOrders.Start start(TaskId task, int run) {
+		JobState job = this.state.job(task.job()).orElseThrow();
+		StepState step = job.step(task.occurrence(), task.step());
+		TaskState member = step.tasks().get(task.index());
+		String checkpoint = step.spec().gang() ? step.gangCheckpoint() : member.checkpoint();
+		return new WorkerOrders.Start(task, run, job.plan().payload(), step.spec().checkpoints() ? checkpoint : "");
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Host.java
@@ -0,0 +1,83 @@
+package io.verbenatrack.fleet.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.verbenatrack.fleet.model.Room;
+import io.verbenatrack.fleet.model.StepSpec;
+import io.verbenatrack.fleet.model.TaskId;
+
+/**
+ * A worker as one placement pass sees it: its free room shrinks as tasks are placed.
+ */
+final class Host {
+
+	private final KnownWorker worker;
+
+	private final List<Occupant> occupants = new ArrayList<>();
+
+	private Room free;
+
+	private boolean reserved;
+
+	Host(KnownWorker worker) {
+		this.worker = worker;
+		this.free = worker.report().room();
+	}
+
+	KnownWorker worker() {
+		return this.worker;
+	}
+
+	String rack() {
+		return this.worker.report().rack();
+	}
+
+	Room free() {
+		return this.free;
+	}
+
+	List<Occupant> occupants() {
+		return this.occupants;
+	}
+
+	void occupy(Occupant occupant) {
+		this.occupants.add(occupant);
+		this.free = this.free.minus(occupant.room());
+	}
+
+	void take(Room room) {
+		this.free = this.free.minus(room);
+	}
+
+	void giveBack(Room room) {
+		this.free = this.free.plus(room);
+	}
+
+	/** Keeps work of lower priority away while room is being cleared here. */
+	void reserve() {
+		this.reserved = true;
+	}
+
+	boolean reserved() {
+		return this.reserved;
+	}
+
+	boolean suits(StepSpec step) {
+		return step.label().isEmpty() || this.worker.report().labels().contains(step.label().get());
+	}
+
+	/**
+	 * What runs on a worker.
+	 *
+	 * @param task the task
+	 * @param room what it takes
+	 * @param priority the priority of its queue
+	 * @param lossMillis how much work a stop would throw away, in milliseconds of run
+	 * time weighted by the room
+	 */
+	record Occupant(TaskId task, Room room, int priority, double lossMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingSteps.java
@@ -0,0 +1,67 @@
+package io.verbenatrack.fleet.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import io.verbenatrack.fleet.model.Queue;
+import io.verbenatrack.fleet.state.FleetState;
+import io.verbenatrack.fleet.state.JobState;
+import io.verbenatrack.fleet.state.StepState;
+import io.verbenatrack.fleet.state.TaskState;
+
+/**
+ * Decides which steps may start and in which order: by priority, and within a priority
+ * the step first that has the least work left, so that many small jobs do not wait for
+ * one large one.
+ */
+final class PendingSteps {
+
+	/** A task may not start before its time; clocks of two instances differ a little. */
+	private static final long CLOCK_SKEW_MILLIS = 60;
+
+	private PendingSteps() {
+	}
+
+	static List<PendingStep> inOrder(FleetState state, long nowMillis) {
+		List<PendingStep> pending = new ArrayList<>();
+		for (JobState job : state.openJobs()) {
+			Optional<Queue> queue = state.queueOf(job);
+			queue.ifPresent((known) -> collect(job, known, nowMillis, pending));
+		}
+		pending.sort(Comparator.<PendingStep>comparingInt((step) -> step.queue().priority())
+			.thenComparingDouble(PendingStep::work));
+		return pending;
+	}
+
+	private static void collect(JobState job, Queue queue, long nowMillis, List<PendingStep> pending) {
+		for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+			if (job.plan().timed() && job.plan().dueMillis(occurrence) + CLOCK_SKEW_MILLIS > nowMillis) {
+				return;
+			}
+			long ready = Math.max(job.acceptedMillis(), job.plan().dueMillis(occurrence));
+			for (int number = 0; number < job.plan().steps().size(); number++) {
+				StepState step = job.step(occurrence, number);
+				List<Integer> waiting = waiting(step);
+				if (!waiting.isEmpty() && job.unblocked(occurrence, number)) {
+					pending.add(new PendingStep(job, queue, occurrence, number, step, waiting, ready));
+				}
+			}
+		}
+	}
+
+	// A gang waits until the last member of its previous run has ended.
+	private static List<Integer> waiting(StepState step) {
+		List<Integer> waiting = new ArrayList<>();
+		for (int index = 0; index < step.tasks().size(); index++) {
+			TaskState task = step.tasks().get(index);
+			if (task.waiting()) {
+				waiting.add(index);
+			}
+		}
+		boolean incomplete = step.spec().gang() && waiting.size() < step.tasks().size();
+		return incomplete ? List.of() : waiting;
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -0,0 +1,218 @@
+package io.verbenatrack.fleet.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.verbenatrack.fleet.model.FleetAccount;
+import io.verbenatrack.fleet.model.Room;
+import io.verbenatrack.fleet.model.StepSpec;
+import io.verbenatrack.fleet.model.TaskId;
+import io.verbenatrack.fleet.state.FleetCommand;
+import io.verbenatrack.fleet.state.FleetState;
+import io.verbenatrack.fleet.state.JobState;
+import io.verbenatrack.fleet.state.StepState;
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.ServiceId;
+
+/**
+ * Decides once, on one state, which waiting tasks start where and what is preempted.
+ */
+final class PlacementPass {
+
+	/** A guaranteed gang starts across racks rather than later than this. */
+	private static final long SPREAD_MILLIS = 3500;
+
+	private final FleetState state;
+
+	private final FleetTimings timings;
+
+	private final Set<TaskId> stopping;
+
+	private final long nowMillis;
+
+	private final Map<ServiceId, List<Host>> hosts = new LinkedHashMap<>();
+
+	private final List<FleetCommand.StartRun> starts = new ArrayList<>();
+
+	private final Set<TaskId> preempted = new LinkedHashSet<>();
+
+	private final Map<AccountId, Integer> guaranteedUse = new HashMap<>();
+
+	PlacementPass(FleetState state, WorkerBoard board, FleetTimings timings, Set<TaskId> stopping, long nowNanos,
+			long nowMillis) {
+		this.stopping = stopping;
+		this.state = state;
+		this.timings = timings;
+		this.nowMillis = nowMillis;
+		for (KnownWorker worker : board.workers()) {
+			if (worker.usable(nowNanos, timings.workerSilence().toNanos())) {
+				this.hosts.computeIfAbsent(worker.report().service(), (service) -> new ArrayList<>()).add(host(worker));
+			}
+		}
+	}
+
+	private Host host(KnownWorker worker) {
+		Host host = new Host(worker);
+		Map<TaskId, Integer> known = this.state.runsOn(worker.life());
+		known.forEach((task, run) -> occupy(host, task));
+		worker.report()
+			.running()
+			.stream()
+			.filter((run) -> !known.containsKey(run.task()))
+			.forEach((run) -> occupy(host, run.task()));
+		return host;
+	}
+
+	private void occupy(Host host, TaskId task) {
+		Optional<StepState> step = this.state.step(task);
+		if (step.isEmpty()) {
+			// Nothing is known of its size, so nothing may start beside it.
+			host.take(host.free());
+			return;
+		}
+		JobState job = this.state.job(task.job()).orElseThrow();
+		int priority = this.state.queueOf(job).map((queue) -> queue.priority()).orElse(0);
+		StepSpec spec = step.get().spec();
+		double done = spec.estimatedMillis() * host.worker().percent(task) / 100.0;
+		int bound = spec.gang() ? spec.count() : 1;
+		// What stops already costs nothing more, so that a plan stays as it is.
+		double loss = this.stopping.contains(task) ? 0
+				: spec.checkpoints() ? 1 : 1 + done * bound * PendingStep.weight(spec);
+		host.occupy(new Host.Occupant(task, spec.room(), priority, loss));
+	}
+
+	void run() {
+		countGuaranteedUse();
+		for (PendingStep step : PendingSteps.inOrder(this.state, this.nowMillis)) {
+			List<Host> candidates = this.hosts.getOrDefault(step.queue().service(), List.of());
+			if (step.spec().gang()) {
+				placeGang(step, candidates);
+			}
+			else {
+				placeEach(step, candidates);
+			}
+		}
+	}
+
+	private void countGuaranteedUse() {
+		for (JobState job : this.state.openJobs()) {
+			if (this.state.queueOf(job).filter((queue) -> queue.priority() == 0).isPresent()) {
+				int most = job.plan()
+					.steps()
+					.stream()
+					.mapToInt((step) -> step.count() * step.room().accelerators())
+					.max()
+					.orElse(0);
+				this.guaranteedUse.merge(job.account(), most, Integer::sum);
+			}
+		}
+	}
+
+	private boolean guaranteed(PendingStep step) {
+		if (step.queue().priority() != 0) {
+			return false;
+		}
+		int granted = this.state.configuration()
+			.flatMap((configuration) -> configuration.accounts()
+				.stream()
+				.filter((account) -> account.account().equals(step.job().account()))
+				.findFirst())
+			.map(FleetAccount::guaranteedAccelerators)
+			.orElse(0);
+		return this.guaranteedUse.getOrDefault(step.job().account(), 0) <= granted;
+	}
+
+	private long waitedMillis(PendingStep step) {
+		return this.nowMillis - step.readyMillis();
+	}
+
+	private void placeGang(PendingStep step, Collection<Host> candidates) {
+		boolean spread = step.queue().priority() == 0 && waitedMillis(step) > SPREAD_MILLIS;
+		Optional<Map<Integer, Host>> found = new GangPlacement(candidates).place(step, spread);
+		if (found.isPresent()) {
+			int run = step.step().nextGangRun();
+			found.get().forEach((index, host) -> start(step, index, run, host));
+		}
+		else {
+			preempt(step, candidates);
+		}
+	}
+
+	private void placeEach(PendingStep step, Collection<Host> candidates) {
+		Map<Host, Integer> used = new HashMap<>();
+		boolean all = true;
+		for (int index : step.waiting()) {
+			Optional<Host> host = choose(step, index, candidates, used);
+			if (host.isPresent()) {
+				used.merge(host.get(), 1, Integer::sum);
+				start(step, index, step.step().tasks().get(index).run() + 1, host.get());
+			}
+			else {
+				all = false;
+			}
+		}
+		if (!all) {
+			preempt(step, candidates);
+		}
+	}
+
+	private Optional<Host> choose(PendingStep step, int index, Collection<Host> candidates, Map<Host, Integer> used) {
+		StepSpec spec = step.spec();
+		boolean awaitRack = waitedMillis(step) < spec.estimatedMillis();
+		return candidates.stream()
+			.filter((host) -> host.suits(spec) && spec.room().fitsIn(host.free()))
+			.filter((host) -> !host.reserved() || step.queue().priority() == 0)
+			.filter((host) -> step.avoid(index).filter(host.worker().life()::equals).isEmpty())
+			.filter((host) -> spec.mostOnOneWorker() == 0
+					|| sharing(step, host) + used.getOrDefault(host, 0) < spec.mostOnOneWorker())
+			.filter((host) -> !awaitRack || nearData(spec, host))
+			.min(Comparator.comparing((Host host) -> !nearData(spec, host))
+				.thenComparingInt((host) -> host.free().accelerators())
+				.thenComparingLong((host) -> host.free().cpuMillis()));
+	}
+
+	private static boolean nearData(StepSpec spec, Host host) {
+		return spec.dataRack().isEmpty() || spec.dataRack().get().equals(host.rack());
+	}
+
+	private static int sharing(PendingStep step, Host host) {
+		return (int) step.step()
+			.tasks()
+			.stream()
+			.filter((task) -> task.runningOn().filter(host.worker().life()::equals).isPresent())
+			.count();
+	}
+
+	private void start(PendingStep step, int index, int run, Host host) {
+		Room room = step.spec().room();
+		host.take(room);
+		this.starts.add(new FleetCommand.StartRun(step.task(index), run, host.worker().life()));
+	}
+
+	private void preempt(PendingStep step, Collection<Host> candidates) {
+		if (!guaranteed(step) || waitedMillis(step) < this.timings.preemptAfter().toMillis()) {
+			return;
+		}
+		new Preemption(candidates).plan(step).ifPresent((plan) -> {
+			this.preempted.addAll(plan.stops());
+			plan.hosts().forEach(Host::reserve);
+		});
+	}
+
+	List<FleetCommand.StartRun> starts() {
+		return this.starts;
+	}
+
+	Set<TaskId> preempted() {
+		return this.preempted;
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Preemption.java
@@ -0,0 +1,124 @@
+package io.verbenatrack.fleet.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.verbenatrack.fleet.model.Room;
+import io.verbenatrack.fleet.model.TaskId;
+
+/**
+ * Chooses what stops so that a guaranteed step can start: work of lower priority, on the
+ * rack where the least is lost.
+ */
+final class Preemption {
+
+	private final Collection<Host> hosts;
+
+	Preemption(Collection<Host> hosts) {
+		this.hosts = hosts;
+	}
+
+	/**
+	 * Clears room for the waiting tasks of a step.
+	 * @param step the step
+	 * @return what stops and where; empty when even that makes too little room
+	 */
+	Optional<Plan> plan(PendingStep step) {
+		List<Host> suitable = this.hosts.stream()
+			.filter((host) -> host.suits(step.spec()) && !host.reserved())
+			.toList();
+		if (step.spec().gang() && step.spec().rackSensitive()) {
+			Map<String, List<Host>> racks = new TreeMap<>();
+			suitable.forEach((host) -> racks.computeIfAbsent(host.rack(), (rack) -> new ArrayList<>()).add(host));
+			Optional<Plan> best = racks.values()
+				.stream()
+				.map((rack) -> clear(step, rack))
+				.flatMap(Optional::stream)
+				.min(Comparator.comparingDouble(Plan::loss));
+			if (best.isPresent()) {
+				return best;
+			}
+		}
+		return clear(step, suitable);
+	}
+
+	private static Optional<Plan> clear(PendingStep step, List<Host> hosts) {
+		int missing = step.waiting().size();
+		Room need = step.spec().room();
+		int most = (step.spec().mostOnOneWorker() > 0) ? step.spec().mostOnOneWorker() : Integer.MAX_VALUE;
+		Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), 0);
+		List<Offer> offers = new ArrayList<>();
+		for (Host host : hosts) {
+			offers.addAll(offers(host, need, most));
+		}
+		offers.sort(Comparator.comparingDouble(Offer::lossPerPlace));
+		List<Host> used = new ArrayList<>();
+		for (Offer offer : offers) {
+			if (missing <= 0) {
+				break;
+			}
+			if (!used.contains(offer.host())) {
+				used.add(offer.host());
+				plan.hosts().add(offer.host());
+				plan.stops().addAll(offer.stops());
+				plan = new Plan(plan.stops(), plan.hosts(), plan.loss() + offer.loss());
+				missing -= offer.places();
+			}
+		}
+		return (missing <= 0) ? Optional.of(plan) : Optional.empty();
+	}
+
+	// What a worker offers without a stop, and after stopping more and more of its
+	// cheapest occupants.
+	private static List<Offer> offers(Host host, Room need, int most) {
+		List<Offer> offers = new ArrayList<>();
+		Room room = host.free();
+		double loss = 0;
+		List<TaskId> stops = new ArrayList<>();
+		int places = Math.min(most, need.timesIn(room));
+		if (places > 0) {
+			offers.add(new Offer(host, places, 0, List.of()));
+		}
+		List<Host.Occupant> cheapest = host.occupants()
+			.stream()
+			.filter((occupant) -> occupant.priority() > 0)
+			.sorted(Comparator.comparingDouble(Host.Occupant::lossMillis))
+			.toList();
+		for (Host.Occupant occupant : cheapest) {
+			room = room.plus(occupant.room());
+			loss += occupant.lossMillis();
+			stops.add(occupant.task());
+			int more = Math.min(most, need.timesIn(room));
+			if (more > places) {
+				places = more;
+				offers.add(new Offer(host, places, loss, List.copyOf(stops)));
+			}
+		}
+		return offers;
+	}
+
+	private record Offer(Host host, int places, double loss, List<TaskId> stops) {
+
+		double lossPerPlace() {
+			return this.loss / this.places;
+		}
+
+	}
+
+	/**
+	 * Who makes room.
+	 *
+	 * @param stops the tasks that stop
+	 * @param hosts the workers that the room is kept on
+	 * @param loss the work thrown away, in weighted milliseconds
+	 */
+	record Plan(List<TaskId> stops, List<Host> hosts, double loss) {
+
+	}
+
+}
--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerBoard.java
@@ -0,0 +1,125 @@
+package io.verbenatrack.fleet.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.verbenatrack.fleet.model.WorkerLife;
+import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.model.WorkerId;
+
+/**
+ * The workers as the leader heard of them in its term. A new leader begins with an empty
+ * board and treats every worker of the replicated state as leased until it has waited out
+ * the leases that the leader before it may have granted.
+ */
+public final class WorkerBoard {
+
+	private final Map<WorkerId, KnownWorker> workers = new LinkedHashMap<>();
+
+	private final long leaseNanos;
+
+	private final long unheardLeaseEndNanos;
+
+	/**
+	 * Creates an empty board.
+	 * @param startNanos when this leader began, by the monotonic clock
+	 * @param leaseNanos the longest that a worker may take a lease to last
+	 */
+	public WorkerBoard(long startNanos, long leaseNanos) {
+		this.leaseNanos = leaseNanos;
+		this.unheardLeaseEndNanos = startNanos + leaseNanos;
+	}
+
+	/**
+	 * Takes a worker's report unless it is older than what is known.
+	 * @param report the report
+	 * @param nowNanos when it arrived
+	 * @return the worker, or empty when a newer report or life is known
+	 */
+	public Optional<KnownWorker> heard(WorkerReport report, long nowNanos) {
+		WorkerId id = report.life().worker();
+		KnownWorker known = this.workers.get(id);
+		if (known != null && known.life().bornMillis() > report.life().bornMillis()) {
+			return Optional.empty();
+		}
+		if (replaced(report.life(), report.address())) {
+			return Optional.empty();
+		}
+		if (known == null || !known.life().equals(report.life())) {
+			known = new KnownWorker(report, nowNanos, this.unheardLeaseEndNanos);
+			this.workers.put(id, known);
+			return Optional.of(known);
+		}
+		return known.update(report, nowNanos) ? Optional.of(known) : Optional.empty();
+	}
+
+	private boolean replaced(WorkerLife life, String address) {
+		return this.workers.values()
+			.stream()
+			.anyMatch((other) -> other.report().address().equals(address)
+					&& !other.life().worker().equals(life.worker()) && other.life().bornMillis() > life.bornMillis());
+	}
+
+	/**
+	 * Extends a worker's lease.
+	 * @param worker the worker
+	 * @param heardNanos when the heartbeat arrived whose answer extends it
+	 */
+	public void extendLease(KnownWorker worker, long heardNanos) {
+		worker.leaseUntil(heardNanos + this.leaseNanos);
+	}
+
+	/**
+	 * Whether nothing runs any more on a life of a worker: its lease ran out, or the
+	 * worker has started anew.
+	 * @param life the life
+	 * @param nowNanos the time
+	 * @return whether its runs are lost
+	 */
+	public boolean dead(WorkerLife life, long nowNanos) {
+		KnownWorker known = this.workers.get(life.worker());
+		if (known == null) {
+			return nowNanos - this.unheardLeaseEndNanos > 0;
+		}
+		if (!known.life().equals(life)) {
+			return known.life().bornMillis() > life.bornMillis();
+		}
+		return nowNanos - known.leaseEndNanos() > 0 || replaced(life, known.report().address());
+	}
+
+	/**
+	 * Drops workers that are gone.
+	 * @param nowNanos the time
+	 * @return those dropped
+	 */
+	public List<KnownWorker> dropGone(long nowNanos) {
+		List<KnownWorker> gone = new ArrayList<>(this.workers.values()
+			.stream()
+			.filter((worker) -> nowNanos - worker.leaseEndNanos() > 0 && worker.silentNanos(nowNanos) > this.leaseNanos)
+			.toList());
+		gone.forEach((worker) -> this.workers.remove(worker.life().worker()));
+		return gone;
+	}
+
+	/**
+	 * A worker.
+	 * @param worker its name
+	 * @return the worker, if it was heard
+	 */
+	public Optional<KnownWorker> worker(WorkerId worker) {
+		return Optional.ofNullable(this.workers.get(worker));
+	}
+
+	/**
+	 * The workers heard.
+	 * @return the workers
+	 */
+	public Collection<KnownWorker> workers() {
+		return this.workers.values();
+	}
+
+}
--- /dev/null
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallRules.java
@@ -0,0 +1,176 @@
+package io.verbenatrack.fleetd;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+import io.verbenatrack.fleet.call.FleetCall;
+import io.verbenatrack.fleet.call.FleetReply;
+import io.verbenatrack.fleet.model.ConfigurationRule;
+import io.verbenatrack.fleet.model.FleetAccount;
+import io.verbenatrack.fleet.model.FleetConfiguration;
+import io.verbenatrack.fleet.model.JobPhase;
+import io.verbenatrack.fleet.model.Queue;
+import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.policy.FleetLeader;
+import io.verbenatrack.fleet.state.FleetCommand;
+import io.verbenatrack.fleet.state.FleetState;
+import io.verbenatrack.fleet.state.JobState;
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+
+/**
+ * Decides on calls: which queue they are for, whether their key is known, and what they
+ * change. Every call may arrive again, so each decision holds for the second time too.
+ */
+final class CallRules {
+
+	private static final Pattern JOB = Pattern.compile("[0-9a-fA-F]{16}");
+
+	/** The account of callers of a queue that asks for no key. */
+	private static final AccountId ANYBODY = new AccountId("anybody");
+
+	/** The first configuration is sent again and again until it is accepted. */
+	private static final long UNCONFIGURED_RETRY_MILLIS = 500;
+
+	private final FleetLeader leader;
+
+	private final FleetState state;
+
+	private final long nowNanos;
+
+	private final long nowMillis;
+
+	CallRules(FleetLeader leader, FleetState state, long nowNanos, long nowMillis) {
+		this.leader = leader;
+		this.state = state;
+		this.nowNanos = nowNanos;
+		this.nowMillis = nowMillis;
+	}
+
+	CallDecision decide(FleetCall call, long arrivedNanos) {
+		return switch (call) {
+			case FleetCall.SubmitJob submit -> addressed(submit.origin(), (place) -> submit(place, submit));
+			case FleetCall.AskState ask -> addressed(ask.origin(), this::phase);
+			case FleetCall.CancelJob cancel -> addressed(cancel.origin(), this::cancel);
+			case FleetCall.Heartbeat heartbeat -> heartbeat(heartbeat.report(), arrivedNanos);
+			case FleetCall.Leave leave -> {
+				this.leader.left(leave.worker(), this.nowNanos);
+				yield CallDecision.of(new FleetReply.Stored());
+			}
+			case FleetCall.ChangeConfiguration change -> change(change);
+			case FleetCall.ReadConfiguration read -> CallDecision.of(configuration());
+			case FleetCall.Probe probe ->
+				CallDecision.of(new FleetReply.Reached(this.state.configuration().map(FleetConfiguration::limits)));
+		};
+	}
+
+	private CallDecision addressed(FleetCall.Origin origin, java.util.function.Function<Place, CallDecision> action) {
+		Optional<FleetConfiguration> configuration = this.state.configuration();
+		if (configuration.isEmpty()) {
+			return CallDecision
+				.of(new FleetReply.Refused(new Problem(ProblemKind.UNAVAILABLE, "There is no configuration yet.",
+						"Come back once an operator has sent one."), UNCONFIGURED_RETRY_MILLIS));
+		}
+		Optional<Queue> queue = configuration.get().route(origin.host(), origin.path());
+		if (queue.isEmpty()) {
+			return CallDecision.of(new FleetReply.NoSuchQueue());
+		}
+		Optional<AccountId> account = queue.get().open() ? Optional.of(ANYBODY)
+				: configuration.get().accountOfKey(origin.key()).map(FleetAccount::account);
+		if (account.isEmpty()) {
+			return CallDecision.of(new FleetReply.UnknownKey());
+		}
+		String name = origin.path().substring(queue.get().pathPrefix().length());
+		return action.apply(new Place(queue.get(), account.get(), name));
+	}
+
+	private CallDecision submit(Place place, FleetCall.SubmitJob submit) {
+		if (!place.namesJob()) {
+			return CallDecision.of(new FleetReply.Invalid(new Problem(ProblemKind.INVALID,
+					"'" + place.name() + "' names no job.", "Use 16 hexadecimal digits.")));
+		}
+		if (this.state.job(place.job()).isPresent()) {
+			return CallDecision.of(new FleetReply.Stored());
+		}
+		return CallDecision.after(new FleetCommand.AcceptJob(place.job(), place.queue().name(), place.account(),
+				submit.plan(), this.nowMillis), new FleetReply.Stored());
+	}
+
+	private CallDecision phase(Place place) {
+		if (place.name().isEmpty()) {
+			return CallDecision.of(new FleetReply.Waiting(waiting(place.queue())));
+		}
+		if (!place.namesJob()) {
+			return CallDecision.of(new FleetReply.NoSuchJob());
+		}
+		Optional<JobState> job = this.state.job(place.job());
+		return CallDecision.of(job.<FleetReply>map((known) -> new FleetReply.Phase(known.phase()))
+			.orElseGet(FleetReply.NoSuchJob::new));
+	}
+
+	private int waiting(Queue queue) {
+		return (int) this.state.openJobs()
+			.stream()
+			.filter((job) -> job.queue().equals(queue.name()) && job.phase() == JobPhase.PENDING)
+			.count();
+	}
+
+	private CallDecision cancel(Place place) {
+		Optional<JobState> job = place.namesJob() ? this.state.job(place.job()) : Optional.empty();
+		if (job.isEmpty()) {
+			return CallDecision.of(new FleetReply.NoSuchJob());
+		}
+		if (job.get().phase().ended()) {
+			return CallDecision.of(new FleetReply.Stored());
+		}
+		return CallDecision.after(new FleetCommand.CancelJob(place.job()), new FleetReply.Stored());
+	}
+
+	private CallDecision heartbeat(WorkerReport report, long arrivedNanos) {
+		List<FleetCommand> commands = this.leader.heard(report, arrivedNanos).orElse(List.of());
+		return new CallDecision(commands, (after) -> new FleetReply.Orders(this.leader.orders(report)));
+	}
+
+	private CallDecision change(FleetCall.ChangeConfiguration change) {
+		Optional<Problem> problem = ConfigurationRule.problem(change.configuration());
+		if (problem.isPresent()) {
+			return CallDecision.of(new FleetReply.Invalid(problem.get()));
+		}
+		if (change.configuration().version() <= this.state.version()) {
+			return CallDecision.of(new FleetReply.Stored());
+		}
+		return CallDecision.after(new FleetCommand.AdoptConfiguration(change.configuration(), change.document()),
+				new FleetReply.Stored());
+	}
+
+	private FleetReply configuration() {
+		return this.state.configuration()
+			.<FleetReply>map((known) -> new FleetReply.Configuration(this.state.document()))
+			.orElseGet(() -> new FleetReply.Refused(
+					new Problem(ProblemKind.UNAVAILABLE, "There is no configuration yet.", "Send one."),
+					UNCONFIGURED_RETRY_MILLIS));
+	}
+
+	/**
+	 * What a caller's path stands for.
+	 *
+	 * @param queue the queue
+	 * @param account the client account that calls
+	 * @param name the rest of the path
+	 */
+	private record Place(Queue queue, AccountId account, String name) {
+
+		boolean namesJob() {
+			return JOB.matcher(this.name).matches();
+		}
+
+		JobId job() {
+			return new JobId(this.name);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
@@ -0,0 +1,96 @@
+package io.verbenatrack.fleetd;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+
+import io.verbenatrack.control.ReplicaSettings;
+import io.verbenatrack.control.configuration.ConfigurationAuthority;
+import io.verbenatrack.control.driver.ReplicaEvents;
+import io.verbenatrack.control.link.GrpcReplica;
+import io.verbenatrack.fleet.policy.FleetTimings;
+import io.verbenatrack.fleet.state.FleetCodec;
+import io.verbenatrack.model.Closer;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.Revision;
+import io.verbenatrack.telemetry.EventLog;
+
+/**
+ * A control replica of the fleet: the replicated log, the state and the leader's loop.
+ */
+public final class ControlInstance implements AutoCloseable {
+
+	private final Closer closer;
+
+	private final GrpcReplica replica;
+
+	private final FleetLoop loop;
+
+	private ControlInstance(Closer closer, GrpcReplica replica, FleetLoop loop) {
+		this.closer = closer;
+		this.replica = replica;
+		this.loop = loop;
+	}
+
+	/**
+	 * Starts a replica and listens for other instances.
+	 * @param settings the settings of the replica
+	 * @param timings how long the leader waits
+	 * @param clock the monotonic clock
+	 * @param wallClock the time of day
+	 * @param events takes what operators want to know
+	 * @return the instance
+	 * @throws IOException when the data folder or the address cannot be used
+	 */
+	public static ControlInstance start(ReplicaSettings settings, FleetTimings timings, MonotonicClock clock,
+			InstantSource wallClock, EventLog events) throws IOException {
+		Closer closer = new Closer();
+		try {
+			FleetCodec codec = new FleetCodec();
+			FleetStateMachine machine = new FleetStateMachine(codec);
+			GrpcReplica replica = closer.register(GrpcReplica.start(settings, machine,
+					() -> new ConfigurationAuthority.Held(settings.clusterName(), Revision.NONE, ByteString.EMPTY),
+					new ReplicaEvents(events), clock));
+			FleetLoop loop = closer
+				.register(new FleetLoop(replica.replica(), machine, codec, timings, clock, wallClock, events));
+			closer.register(new CallListener(new InetSocketAddress(settings.self().host(), settings.self().port()),
+					List.of(replica.service(), new FleetService(loop, new CallCodec()))));
+			loop.start();
+			return new ControlInstance(closer, replica, loop);
+		}
+		catch (IOException | RuntimeException ex) {
+			closer.close();
+			throw ex;
+		}
+	}
+
+	/**
+	 * Answers calls while this replica leads.
+	 * @return the leader's loop
+	 */
+	public FleetCaller caller() {
+		return this.loop;
+	}
+
+	/**
+	 * Who leads, as far as this replica knows.
+	 * @return the leader, if it is known
+	 */
+	public Optional<InstanceId> leader() {
+		return this.replica.replica().leader();
+	}
+
+	/**
+	 * Hands leadership over and stops.
+	 */
+	@Override
+	public void close() {
+		this.closer.close();
+	}
+
+}
--- /dev/null
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetCaller.java
@@ -0,0 +1,22 @@
+package io.verbenatrack.fleetd;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenatrack.fleet.call.FleetCall;
+import io.verbenatrack.fleet.call.FleetReply;
+
+/**
+ * Carries a call to whoever can answer it.
+ */
+public interface FleetCaller {
+
+	/**
+	 * Makes a call.
+	 * @param call the call
+	 * @param patience how long the caller waits
+	 * @return the reply; never completes exceptionally
+	 */
+	CompletableFuture<FleetReply> call(FleetCall call, Duration patience);
+
+}
--- /dev/null
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
@@ -0,0 +1,241 @@
+package io.verbenatrack.fleetd;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.StreamObserver;
+
+import io.verbenatrack.fleet.call.FleetCall;
+import io.verbenatrack.fleet.call.FleetReply;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.protocol.entry.CommandReply;
+import io.verbenatrack.protocol.entry.CommandRequest;
+import io.verbenatrack.protocol.entry.EntryServiceGrpc;
+
+/**
+ * Finds the leader among the control replicas and repeats a call until it is answered or
+ * the caller's patience ends.
+ *
+ * <p>
+ * Every call may be repeated without harm. A connection that leaves an attempt unanswered
+ * is replaced, since a connection whose path was lost still looks open.
+ */
+public final class LeaderClient implements FleetCaller, AutoCloseable {
+
+	/** Several times what a commit takes on a slow disk. */
+	private static final Duration ATTEMPT = Duration.ofMillis(700);
+
+	/** Between two attempts while no leader is known. */
+	private static final Duration PAUSE = Duration.ofMillis(50);
+
+	/**
+	 * When callers may come back while no leader is known; an election is over by then.
+	 */
+	private static final long NO_LEADER_RETRY_MILLIS = 1000;
+
+	private final ConcurrentHashMap<String, ManagedChannel> channels = new ConcurrentHashMap<>();
+
+	private final int port;
+
+	private final CallCodec codec;
+
+	private final ScheduledExecutorService timer;
+
+	private final MonotonicClock clock;
+
+	private volatile List<String> seeds;
+
+	private volatile Optional<String> leader = Optional.empty();
+
+	private volatile int next;
+
+	/**
+	 * Creates a client; connections open on their first use.
+	 * @param seeds the hosts of control replicas to ask
+	 * @param port the port on which all replicas take calls of instances
+	 * @param codec encodes calls
+	 * @param timer times attempts
+	 * @param clock the monotonic clock
+	 */
+	public LeaderClient(List<String> seeds, int port, CallCodec codec, ScheduledExecutorService timer,
+			MonotonicClock clock) {
+		this.seeds = List.copyOf(seeds);
+		this.port = port;
+		this.codec = codec;
+		this.timer = timer;
+		this.clock = clock;
+	}
+
+	/**
+	 * Replaces the replicas to ask.
+	 * @param hosts their hosts
+	 */
+	public void seeds(List<String> hosts) {
+		this.seeds = List.copyOf(hosts);
+	}
+
+	@Override
+	public CompletableFuture<FleetReply> call(FleetCall call, Duration patience) {
+		Attempts attempts = new Attempts(call, this.clock.nanoTime() + patience.toNanos());
+		attempts.next(this.leader);
+		return attempts.result;
+	}
+
+	private ManagedChannel channel(String host) {
+		return this.channels.computeIfAbsent(host,
+				(target) -> NettyChannelBuilder.forAddress(target, this.port)
+					.usePlaintext()
+					.disableRetry()
+					.directExecutor()
+					.build());
+	}
+
+	private void replace(String host, ManagedChannel silent) {
+		if (this.channels.remove(host, silent)) {
+			silent.shutdownNow();
+		}
+	}
+
+	private String another() {
+		List<String> known = this.seeds;
+		return known.get(Math.floorMod(this.next++, known.size()));
+	}
+
+	@Override
+	public void close() {
+		this.channels.values().forEach(ManagedChannel::shutdownNow);
+		this.channels.clear();
+	}
+
+	/** The attempts of one call, one after the other. */
+	private final class Attempts {
+
+		private final CompletableFuture<FleetReply> result = new CompletableFuture<>();
+
+		private final FleetCall call;
+
+		private final long deadlineNanos;
+
+		private boolean mayHaveArrived;
+
+		private Attempts(FleetCall call, long deadlineNanos) {
+			this.call = call;
+			this.deadlineNanos = deadlineNanos;
+		}
+
+		private void next(Optional<String> hint) {
+			long left = this.deadlineNanos - LeaderClient.this.clock.nanoTime();
+			if (left <= 0) {
+				this.result.complete(
+						this.mayHaveArrived ? new FleetReply.OutcomeUnknown()
+								: new FleetReply.Refused(new Problem(ProblemKind.UNAVAILABLE,
+										"No leader of the fleet answered.", "Come back later."),
+										NO_LEADER_RETRY_MILLIS));
+				return;
+			}
+			String host = hint.orElseGet(LeaderClient.this::another);
+			ManagedChannel channel = channel(host);
+			CommandRequest request = CommandRequest.newBuilder()
+				.setCommand(ByteString.copyFrom(LeaderClient.this.codec.encode(this.call)))
+				.build();
+			EntryServiceGrpc.newStub(channel)
+				.withDeadlineAfter(Math.min(left, ATTEMPT.toNanos()), TimeUnit.NANOSECONDS)
+				.execute(request, new Answer(this, host, channel));
+		}
+
+		private void replied(String host, FleetReply reply) {
+			if (!(reply instanceof FleetReply.NotLeading notLeading)) {
+				LeaderClient.this.leader = Optional.of(host);
+				this.result.complete(reply);
+				return;
+			}
+			forget(host);
+			Optional<String> hint = notLeading.leader().map(InstanceId::value).filter((named) -> !named.equals(host));
+			if (hint.isPresent() && LeaderClient.this.leader.isEmpty()) {
+				LeaderClient.this.leader = hint;
+				next(hint);
+			}
+			else {
+				later();
+			}
+		}
+
+		private void failed(String host, ManagedChannel channel, Throwable failure) {
+			Status.Code code = Status.fromThrowable(failure).getCode();
+			this.mayHaveArrived = true;
+			if (code == Status.Code.DEADLINE_EXCEEDED) {
+				replace(host, channel);
+			}
+			forget(host);
+			later();
+		}
+
+		private void forget(String host) {
+			if (LeaderClient.this.leader.filter(host::equals).isPresent()) {
+				LeaderClient.this.leader = Optional.empty();
+			}
+		}
+
+		private void later() {
+			if (LeaderClient.this.timer.isShutdown()) {
+				this.result.complete(new FleetReply.OutcomeUnknown());
+				return;
+			}
+			LeaderClient.this.timer.schedule(() -> next(LeaderClient.this.leader), PAUSE.toMillis(),
+					TimeUnit.MILLISECONDS);
+		}
+
+	}
+
+	private final class Answer implements StreamObserver<CommandReply> {
+
+		private final Attempts attempts;
+
+		private final String host;
+
+		private final ManagedChannel channel;
+
+		private boolean answered;
+
+		private Answer(Attempts attempts, String host, ManagedChannel channel) {
+			this.attempts = attempts;
+			this.host = host;
+			this.channel = channel;
+		}
+
+		@Override
+		public void onNext(CommandReply reply) {
+			this.answered = true;
+			this.attempts.replied(this.host, LeaderClient.this.codec.reply(reply.getReply().toByteArray()));
+		}
+
+		@Override
+		public void onError(Throwable failure) {
+			if (!this.answered) {
+				this.attempts.failed(this.host, this.channel, failure);
+			}
+		}
+
+		@Override
+		public void onCompleted() {
+			if (!this.answered) {
+				this.attempts.failed(this.host, this.channel,
+						Status.UNAVAILABLE.withDescription("The replica gave no reply.").asRuntimeException());
+			}
+		}
+
+	}
+
+}
--- a/server/src/main/java/io/verbenatrack/server/ControlModule.java
+++ b/server/src/main/java/io/verbenatrack/server/ControlModule.java
@@ -18,6 +18,7 @@
 import io.verbenatrack.control.ReplicaSettings;
 import io.verbenatrack.control.configuration.ConfigurationAuthority;
 import io.verbenatrack.control.driver.Replica;
+import io.verbenatrack.control.driver.ReplicaEvents;
 import io.verbenatrack.control.link.GrpcReplica;
 import io.verbenatrack.model.Closer;
 import io.verbenatrack.model.InstanceId;
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -6,7 +6,7 @@
  * <p>
  * Each module numbers its events in its own range: server 1001 to 1999, control 2001 to
  * 2999, scheduling 3001 to 3999, routing 4001 to 4999, settings and command line 5001 to
- * 5999. After adding an event run tools/generate-docs.
+ * 5999, the fleet 6001 to 6999. After adding an event run tools/generate-docs.
  */
 public enum LogEvent {
 
@@ -113,7 +113,79 @@
 	JOB_REFUSED(3004, System.Logger.Level.INFO, "A job was refused for good.", "See the reason."),
 
 	/** A local run started its instance and stand-ins. */
-	EXAMPLE_STARTED(5001, System.Logger.Level.INFO, "The local example started.", "Nothing to do.");
+	EXAMPLE_STARTED(5001, System.Logger.Level.INFO, "The local example started.", "Nothing to do."),
+
+	/** This instance decides on the fleet in a new term. */
+	FLEET_LEADER_BEGAN(6001, System.Logger.Level.INFO, "This instance decides on the fleet in a new term.",
+			"Nothing to do."),
+
+	/** This instance no longer decides on the fleet. */
+	FLEET_LEADER_ENDED(6002, System.Logger.Level.INFO, "This instance no longer decides on the fleet.",
+			"Nothing to do; if it repeats, check the links between the control replicas."),
+
+	/** A call was answered. */
+	FLEET_CALL_ANSWERED(6003, System.Logger.Level.INFO, "A call was answered.", "Nothing to do."),
+
+	/** A job is stored on a quorum. */
+	FLEET_JOB_ACCEPTED(6004, System.Logger.Level.INFO, "A job is stored on a quorum.", "Nothing to do."),
+
+	/** A job is cancelled; its runs are stopped. */
+	FLEET_JOB_CANCELLED(6005, System.Logger.Level.INFO, "A job is cancelled; its runs are stopped.", "Nothing to do."),
+
+	/** A job has ended. */
+	FLEET_JOB_ENDED(6006, System.Logger.Level.INFO, "A job has ended.",
+			"Look for the ends of its runs when it failed."),
+
+	/** A run was decided and recorded. */
+	FLEET_RUN_STARTED(6007, System.Logger.Level.INFO, "A run was decided and recorded.", "Nothing to do."),
+
+	/** The end of a run was recorded. */
+	FLEET_RUN_ENDED(6008, System.Logger.Level.INFO, "The end of a run was recorded.",
+			"Look at the worker when runs of several jobs fail on it."),
+
+	/** A run is stopped so that a guaranteed job can start. */
+	FLEET_RUN_PREEMPTED(6009, System.Logger.Level.INFO, "A run is stopped so that a guaranteed job can start.",
+			"Nothing to do."),
+
+	/** A life of a worker was heard for the first time in this term. */
+	FLEET_WORKER_JOINED(6010, System.Logger.Level.INFO, "A life of a worker was heard for the first time in this term.",
+			"Nothing to do."),
+
+	/** A worker says that it leaves; it gets no new work. */
+	FLEET_WORKER_DRAINING(6011, System.Logger.Level.INFO, "A worker says that it leaves; it gets no new work.",
+			"Nothing to do."),
+
+	/** A worker is gone and its lease has run out. */
+	FLEET_WORKER_GONE(6012, System.Logger.Level.WARNING, "A worker is gone and its lease has run out.",
+			"Check the worker and its links."),
+
+	/** A configuration of the fleet is stored on a quorum. */
+	FLEET_CONFIGURATION_ADOPTED(6013, System.Logger.Level.INFO, "A configuration of the fleet is stored on a quorum.",
+			"Nothing to do."),
+
+	/** A configuration of the fleet was refused. */
+	FLEET_CONFIGURATION_REFUSED(6014, System.Logger.Level.WARNING, "A configuration of the fleet was refused.",
+			"Correct what the field problem names and send it again."),
+
+	/** The leader of the fleet can be reached. */
+	FLEET_LEADER_REACHED(6015, System.Logger.Level.INFO, "The leader of the fleet can be reached.", "Nothing to do."),
+
+	/** The leader of the fleet cannot be reached; callers are told to come back. */
+	FLEET_LEADER_UNREACHABLE(6016, System.Logger.Level.WARNING,
+			"The leader of the fleet cannot be reached; callers are told to come back.",
+			"Check the control replicas and the links to them."),
+
+	/** A call could not be read. */
+	FLEET_INPUT_REFUSED(6017, System.Logger.Level.WARNING, "A call could not be read.",
+			"See the field problem; the sender has to correct it."),
+
+	/** Decisions were not committed. */
+	FLEET_COMMIT_FAILED(6018, System.Logger.Level.WARNING, "Decisions were not committed.",
+			"Nothing to do; the next leader decides anew."),
+
+	/** Log lines were left out to keep the volume bounded. */
+	LOG_LINES_DROPPED(6019, System.Logger.Level.WARNING, "Log lines were left out to keep the volume bounded.",
+			"Raise the limits on log lines or bytes a second.");
 
 	private final int number;
 
