--- a/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
@@ -1,5 +1,6 @@
 package io.verbenatrack.control.replica;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.verbenatrack.control.ReplicaId;
@@ -7,14 +8,23 @@
 import io.verbenatrack.protocol.control.ReplicaMember;
 
 /**
- * Replaces a replica that lost its disk by its new incarnation: first a learner, then the
- * lost voter goes, then the learner that caught up becomes a voter.
+ * Replaces a replica that lost its disk by its new incarnation, and one that stays silent
+ * by a newcomer: first a learner, then the lost voter goes, then the learner that caught
+ * up becomes a voter.
  */
 final class MembershipRepair {
 
 	/** No proposer waits for a change that the leader makes itself. */
 	private static final long NO_TOKEN = 0;
 
+	/** With fewer voters none may fail. */
+	private static final int LEAST_VOTERS = 3;
+
+	/**
+	 * Longer than a restart; a voter that is silent for so long gives way to a learner.
+	 */
+	private static final long REPLACE_AFTER_NANOS = Duration.ofSeconds(8).toNanos();
+
 	private final ReplicaState state;
 
 	private final Leadership leadership;
@@ -32,15 +42,16 @@
 		if (changePending() || this.state.members.find(ReplicaId.of(member)).isPresent()) {
 			return;
 		}
+		Membership present = this.state.membership();
 		boolean known = this.state.members.all()
 			.stream()
-			.anyMatch((present) -> present.getInstance().equals(member.getInstance()));
-		if (!known) {
+			.anyMatch((other) -> other.getInstance().equals(member.getInstance()));
+		int replicas = present.getVotersCount() + present.getLearnersCount();
+		if (!known && replicas >= this.state.configuration.limits().maximumReplicas()) {
 			return;
 		}
-		Membership.Builder next = this.state.membership().toBuilder().clearLearners();
-		this.state.membership()
-			.getLearnersList()
+		Membership.Builder next = present.toBuilder().clearLearners();
+		present.getLearnersList()
 			.stream()
 			.filter((learner) -> !learner.getInstance().equals(member.getInstance()))
 			.forEach(next::addLearners);
@@ -54,9 +65,12 @@
 		}
 		for (ReplicaMember learner : this.state.membership().getLearnersList()) {
 			if (caughtUp(learner)) {
-				this.leadership.changeMembership(NO_TOKEN,
-						withoutLostVoter(learner).orElseGet(() -> promoted(learner)));
-				return;
+				Optional<Membership> next = withoutLostVoter(learner).or(() -> promotion(learner))
+					.or(this::withoutSilentVoter);
+				if (next.isPresent()) {
+					this.leadership.changeMembership(NO_TOKEN, next.get());
+					return;
+				}
 			}
 		}
 	}
@@ -80,6 +94,30 @@
 		return (next.getVotersCount() < present.getVotersCount()) ? Optional.of(next.build()) : Optional.empty();
 	}
 
+	// A newcomer stays a learner beside an odd number of voters: one more would not let
+	// more
+	// of them fail.
+	private Optional<Membership> promotion(ReplicaMember learner) {
+		int voters = this.state.membership().getVotersCount();
+		return (voters % 2 == 0 || voters < LEAST_VOTERS) ? Optional.of(promoted(learner)) : Optional.empty();
+	}
+
+	private Optional<Membership> withoutSilentVoter() {
+		Membership present = this.state.membership();
+		Optional<ReplicaMember> silent = present.getVotersList().stream().filter(this::silent).findFirst();
+		return silent.map((lost) -> {
+			Membership.Builder next = Membership.newBuilder().addAllLearners(present.getLearnersList());
+			present.getVotersList().stream().filter((voter) -> !voter.equals(lost)).forEach(next::addVoters);
+			return next.build();
+		});
+	}
+
+	private boolean silent(ReplicaMember voter) {
+		return !ReplicaId.of(voter).equals(this.state.self) && this.leadership.follower(ReplicaId.of(voter))
+			.filter((progress) -> this.state.now - progress.answeredNanos < REPLACE_AFTER_NANOS)
+			.isEmpty();
+	}
+
 	private Membership promoted(ReplicaMember learner) {
 		Membership present = this.state.membership();
 		Membership.Builder next = Membership.newBuilder().addAllVoters(present.getVotersList()).addVoters(learner);
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
@@ -220,9 +220,23 @@
 			this.repair.announced(message.getAnnouncement().getMember());
 			return;
 		}
+		if (this.state.role != ReplicaRole.UNFORMED) {
+			passOn(message);
+			return;
+		}
 		this.formation.receive(message);
 	}
 
+	// A newcomer may know other members than the leader. What was passed on carries the
+	// receiver's full name, so that it never travels in a circle.
+	private void passOn(ReplicaMessage announcement) {
+		if (!announcement.getTo().equals(this.state.self.text())) {
+			this.state.leaderMember()
+				.ifPresent((leader) -> this.state.send(leader,
+						announcement.toBuilder().setTo(ReplicaId.of(leader).text())));
+		}
+	}
+
 	private void enterTermOf(ReplicaMessage message) {
 		outranked();
 		this.state.enterTerm(message.getTerm());
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaState.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaState.java
@@ -161,6 +161,10 @@
 		return this.members.isVoter(this.self);
 	}
 
+	Optional<ReplicaMember> leaderMember() {
+		return this.leader.flatMap((known) -> this.members.find(known));
+	}
+
 	Optional<InstanceId> leaderInstance() {
 		return this.leader.map(ReplicaId::instance);
 	}
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
@@ -11,6 +11,7 @@
 
 import io.verbenatrack.control.ReplicaLimits;
 import io.verbenatrack.control.ReplicaTimings;
+import io.verbenatrack.protocol.control.Announcement;
 import io.verbenatrack.protocol.control.AppendReply;
 import io.verbenatrack.protocol.control.AppendRequest;
 import io.verbenatrack.protocol.control.HardState;
@@ -205,4 +206,58 @@
 		assertThat(this.core.flush()).contains(new ReplicaEffect.Unknown(7));
 	}
 
+	private void announce(String name) {
+		receive(ReplicaMessage.newBuilder()
+			.setFrom(name + "/1")
+			.setTo("a")
+			.setAnnouncement(Announcement.newBuilder().setMember(member(name))));
+	}
+
+	private void leadWithNewcomer() {
+		lead();
+		accept("b", 3);
+		accept("c", 3);
+		announce("d");
+		accept("b", 4);
+		accept("c", 4);
+		accept("d", 4);
+	}
+
+	@Test
+	public void newcomerStaysALearnerBesideAnOddNumberOfVoters() {
+		leadWithNewcomer();
+		assertThat(this.core.membership().getLearnersList()).containsExactly(member("d"));
+		assertThat(this.core.membership().getVotersList()).containsExactlyElementsOf(THREE.getVotersList());
+	}
+
+	@Test
+	public void newcomerReplacesAVoterThatStaysSilent() {
+		leadWithNewcomer();
+		for (int second = 0; second < 10; second++) {
+			this.now += SECOND / 4;
+			for (int part = 0; part < 4; part++) {
+				this.now += SECOND / 4;
+				accept("b", this.core.lastIndex());
+				accept("d", this.core.lastIndex());
+			}
+		}
+		assertThat(this.core.membership().getVotersList()).extracting(ReplicaMember::getInstance)
+			.containsExactly("a", "b", "d");
+		assertThat(this.core.membership().getLearnersList()).isEmpty();
+	}
+
+	@Test
+	public void followerPassesAnAnnouncementOnToTheLeaderOnce() {
+		receive(from("b", 9).setAppendRequest(AppendRequest.newBuilder().setPreviousIndex(2).setPreviousTerm(2)));
+		this.sent.clear();
+		announce("d");
+		assertThat(this.sent).hasSize(1).allMatch((message) -> message.getTo().equals("b/1"));
+		this.sent.clear();
+		receive(ReplicaMessage.newBuilder()
+			.setFrom("d/1")
+			.setTo("a/1")
+			.setAnnouncement(Announcement.newBuilder().setMember(member("d"))));
+		assertThat(this.sent).isEmpty();
+	}
+
 }
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/CatalogueWriter.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/CatalogueWriter.java
@@ -30,8 +30,7 @@
 
 				Generated from the code by tools/generate-docs; a test compares. Each event has a number that never
 				changes. Its module has a range: server 1001 to 1999, control 2001 to 2999, scheduling 3001 to 3999,
-				routing 4001 to 4999, settings and command line 5001 to 5999, the
-				fleet 6001 to 6999.
+				routing 4001 to 4999, settings and command line 5001 to 5999, the fleet 6001 to 6999.
 
 				| number | name | level | what happened | remedy |
 				| --- | --- | --- | --- | --- |
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -185,7 +185,15 @@
 
 	/** Log lines were left out to keep the volume bounded. */
 	LOG_LINES_DROPPED(6019, System.Logger.Level.WARNING, "Log lines were left out to keep the volume bounded.",
-			"Raise the limits on log lines or bytes a second.");
+			"Raise the limits on log lines or bytes a second."),
+
+	/** The settings file changed. */
+	SETTINGS_RELOADED(6020, System.Logger.Level.INFO, "The settings file changed and is in force.", "Nothing to do."),
+
+	/** The settings file changed and cannot be used. */
+	SETTINGS_UNREADABLE(6021, System.Logger.Level.WARNING,
+			"The settings file cannot be read; the settings from before stay in force.",
+			"Correct what the field problem names.");
 
 	private final int number;
 
--- a/telemetry/src/test/java/io/verbenatrack/telemetry/CatalogueWriterTests.java
+++ b/telemetry/src/test/java/io/verbenatrack/telemetry/CatalogueWriterTests.java
@@ -17,7 +17,7 @@
 
 	private static final int RANGE = 1000;
 
-	private static final int HIGHEST_RANGE = 5;
+	private static final int HIGHEST_RANGE = 6;
 
 	@Test
 	public void theCatalogueOfEventsMatchesTheCode() throws IOException {
