--- /dev/null
+++ b/bench/src/test/java/io/verbenatrack/bench/fleet/FleetRunTests.java
@@ -0,0 +1,50 @@
+package io.verbenatrack.bench.fleet;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for the fleet's policy under loads that imitate heavy days.
+ */
+public class FleetRunTests {
+
+	/** Most of what is owed, on any load. */
+	private static final double EARNED = 0.75;
+
+	/** On a calm day everything is served in time but for what wrong estimates cost. */
+	private static final double CALM_EARNED = 0.9;
+
+	private static final double SERVED = 0.9;
+
+	private static final long SEED = 11;
+
+	@DataProvider
+	Object[][] loads() {
+		return FleetLoad.all().stream().map((load) -> new Object[] { load }).toArray(Object[][]::new);
+	}
+
+	@Test(dataProvider = "loads")
+	public void loadIsServedWithoutABrokenPromise(FleetLoad load) {
+		FleetFigures figures = FleetRun.play(load, SEED);
+		assertThat(figures.violations()).isEmpty();
+		assertThat(figures.earnedShare()).as("%s", figures)
+			.isGreaterThan(load.name().equals("calm") ? CALM_EARNED : EARNED);
+		assertThat(figures.servedShare()).as("%s", figures).isGreaterThan(SERVED);
+	}
+
+	@Test
+	public void wideGangsAreNotStarvedByABurstOfUrgentJobs() {
+		FleetFigures figures = FleetRun.play(FleetLoad.of("urgent-burst"), SEED);
+		assertThat(figures.earnedShare("urgent")).as("%s", figures).isGreaterThan(EARNED);
+		assertThat(figures.earnedShare("nightly")).as("%s", figures).isGreaterThan(EARNED / 2);
+	}
+
+	@Test
+	public void sameSeedGivesTheSameFigures() {
+		FleetLoad load = FleetLoad.of("failing-workers");
+		assertThat(FleetRun.play(load, SEED)).hasToString(FleetRun.play(load, SEED).toString());
+	}
+
+}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
@@ -1,5 +1,6 @@
 package io.verbenatrack.fleet.policy;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +20,7 @@
 import io.verbenatrack.fleet.state.JobState;
 import io.verbenatrack.fleet.state.StepState;
 import io.verbenatrack.fleet.state.TaskState;
+import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.WorkerId;
 
 /**
@@ -38,8 +40,12 @@
 
 	private final long term;
 
+	private final List<FleetNote> notes = new ArrayList<>();
+
 	private Set<TaskId> preempted = Set.of();
 
+	private Set<JobId> waitingJobs = Set.of();
+
 	/**
 	 * Begins a term.
 	 * @param state the replicated state, changed by nobody else while this decides
@@ -62,7 +68,16 @@
 	 * is out of date and gets no orders
 	 */
 	public Optional<List<FleetCommand>> heard(WorkerReport report, long nowNanos) {
+		Optional<KnownWorker> before = this.board.worker(report.life().worker())
+			.filter((worker) -> worker.life().equals(report.life()));
+		boolean wasDraining = before.filter((worker) -> worker.report().draining()).isPresent();
 		Optional<KnownWorker> known = this.board.heard(report, nowNanos);
+		if (known.isPresent() && before.isEmpty()) {
+			this.notes.add(new FleetNote.WorkerJoined(report));
+		}
+		if (known.isPresent() && report.draining() && !wasDraining) {
+			this.notes.add(new FleetNote.WorkerDraining(report.life(), report.running().size()));
+		}
 		return known.map((worker) -> record(worker, report, nowNanos));
 	}
 
@@ -74,7 +89,9 @@
 					end.checkpoint());
 			if (this.state.runs(command) && ended.add(end.task())) {
 				commands.add(command);
-				worker.ended(end.task().job(), end.how(), nowNanos);
+				if (worker.ended(end.task().job(), end.how(), nowNanos)) {
+					this.notes.add(new FleetNote.WorkerSuspected(report.life()));
+				}
 			}
 		}
 		this.state.runsOn(report.life()).forEach((task, run) -> {
@@ -118,7 +135,9 @@
 							known.map((worker) -> worker.checkpoint(task, run)).orElse(""))));
 			}
 		}
-		this.board.dropGone(nowNanos);
+		this.board.dropGone(nowNanos)
+			.forEach((worker) -> this.notes.add(new FleetNote.WorkerGone(worker.life(),
+					Duration.ofNanos(nowNanos - worker.heardNanos()).toMillis())));
 		return commands;
 	}
 
@@ -132,10 +151,42 @@
 		PlacementPass pass = new PlacementPass(this.state, this.board, this.timings, this.preempted, nowNanos,
 				nowMillis);
 		pass.run();
-		this.preempted = withWholeGangs(pass.preempted());
+		notePreempted(withWholeGangs(pass.preempted()));
+		noteWaiting(pass.waiting());
 		return List.copyOf(pass.starts());
 	}
 
+	private void notePreempted(Set<TaskId> tasks) {
+		for (TaskId task : tasks) {
+			if (!this.preempted.contains(task)) {
+				this.state.step(task)
+					.map((step) -> step.tasks().get(task.index()).run())
+					.ifPresent((run) -> this.notes.add(new FleetNote.RunPreempted(task, run)));
+			}
+		}
+		this.preempted = tasks;
+	}
+
+	private void noteWaiting(List<FleetNote.JobWaits> waiting) {
+		Set<JobId> jobs = new HashSet<>();
+		for (FleetNote.JobWaits note : waiting) {
+			if (jobs.add(note.job()) && !this.waitingJobs.contains(note.job())) {
+				this.notes.add(note);
+			}
+		}
+		this.waitingJobs = jobs;
+	}
+
+	/**
+	 * Gives what the leader came to believe since the last call.
+	 * @return the notes
+	 */
+	public List<FleetNote> takeNotes() {
+		List<FleetNote> taken = List.copyOf(this.notes);
+		this.notes.clear();
+		return taken;
+	}
+
 	private Set<TaskId> withWholeGangs(Set<TaskId> tasks) {
 		Set<TaskId> all = new HashSet<>(tasks);
 		for (TaskId task : tasks) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/KnownWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/KnownWorker.java
@@ -150,7 +150,7 @@
 		this.leaseEndNanos = Math.min(this.leaseEndNanos, nowNanos + LEAVE_NANOS);
 	}
 
-	void ended(JobId job, RunEnd how, long nowNanos) {
+	boolean ended(JobId job, RunEnd how, long nowNanos) {
 		if (how == RunEnd.DONE) {
 			this.failedJobs.clear();
 		}
@@ -158,8 +158,10 @@
 			this.failedJobs.add(job);
 			if (this.failedJobs.size() >= SUSPICIOUS_JOBS) {
 				this.suspectUntilNanos = nowNanos + SUSPICION_NANOS;
+				return true;
 			}
 		}
+		return false;
 	}
 
 	/**
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -49,6 +49,8 @@
 
 	private final List<FleetCommand.StartRun> starts = new ArrayList<>();
 
+	private final List<FleetNote.JobWaits> waiting = new ArrayList<>();
+
 	private final Set<TaskId> preempted = new LinkedHashSet<>();
 
 	private final Map<AccountId, Integer> guaranteedUse = new HashMap<>();
@@ -211,6 +213,7 @@
 	}
 
 	private boolean preempt(PendingStep step, Collection<Host> candidates) {
+		noteWaiting(step);
 		boolean owed = guaranteed(step);
 		boolean urgent = step.queue().priority() == 0 && Outlook.of(step, this.nowMillis) == Outlook.IN_TIME;
 		if ((!owed && !urgent) || waitedMillis(step) < this.timings.preemptAfter().toMillis()) {
@@ -229,6 +232,15 @@
 		return this.starts;
 	}
 
+	List<FleetNote.JobWaits> waiting() {
+		return this.waiting;
+	}
+
+	private void noteWaiting(PendingStep step) {
+		this.waiting.add(new FleetNote.JobWaits(step.job().job(), step.number(), step.waiting().size(),
+				step.spec().room().accelerators(), Outlook.of(step, this.nowMillis).name()));
+	}
+
 	Set<TaskId> preempted() {
 		return this.preempted;
 	}
--- /dev/null
+++ b/fleet/src/test/java/io/verbenatrack/fleet/model/ConfigurationRuleTests.java
@@ -0,0 +1,66 @@
+package io.verbenatrack.fleet.model;
+
+import java.util.List;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.fleet.Fixtures;
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ServiceId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ConfigurationRule}, in pairs.
+ */
+public class ConfigurationRuleTests {
+
+	private static final CallLimits LIMITS = new CallLimits(1, 1, 1, 1);
+
+	private static final List<WorkerPool> POOLS = List.of(new WorkerPool(Fixtures.SERVICE, true));
+
+	private static Queue queue(String name, String host, String prefix, String service, long timeout) {
+		return new Queue(name, host, prefix, new ServiceId(service), 0, 1, 1, 1, timeout, false);
+	}
+
+	private static FleetConfiguration queues(Queue... queues) {
+		return new FleetConfiguration(1, List.of(queues), POOLS, LIMITS, List.of());
+	}
+
+	private static FleetConfiguration keys(String first, String second) {
+		return new FleetConfiguration(1, List.of(), POOLS, LIMITS,
+				List.of(new FleetAccount(new AccountId("a"), List.of(first), 0),
+						new FleetAccount(new AccountId("b"), List.of(second), 0)));
+	}
+
+	@DataProvider
+	Object[][] pairs() {
+		Queue sound = queue("one", "host", "/one/", "service", 1);
+		return new Object[][] { { "unknown service", queues(queue("one", "host", "/one/", "other", 1)), queues(sound) },
+				{ "one place", queues(sound, queue("two", "HOST", "/one/", "service", 1)),
+						queues(sound, queue("two", "other", "/one/", "service", 1)) },
+				{ "one name", queues(sound, queue("one", "host", "/two/", "service", 1)),
+						queues(sound, queue("two", "host", "/two/", "service", 1)) },
+				{ "no timeout", queues(queue("one", "host", "/one/", "service", 0)), queues(sound) },
+				{ "shared key", keys("k", "k"), keys("k", "l") } };
+	}
+
+	@Test(dataProvider = "pairs")
+	public void contradictionIsFoundAndItsNeighbourIsNot(String name, FleetConfiguration wrong,
+			FleetConfiguration right) {
+		assertThat(ConfigurationRule.problem(wrong)).as(name).map(Problem::remedy).isPresent();
+		assertThat(ConfigurationRule.problem(right)).as(name).isEmpty();
+	}
+
+	@Test
+	public void longestPrefixOfTheHostIsTheQueue() {
+		FleetConfiguration configuration = queues(queue("one", "host", "/a/", "service", 1),
+				queue("two", "host", "/a/b/", "service", 1), queue("three", "other", "/a/b/c/", "service", 1));
+		assertThat(configuration.route("host", "/a/b/c/1")).map(Queue::name).contains("two");
+		assertThat(configuration.route("host", "/a/1")).map(Queue::name).contains("one");
+		assertThat(configuration.route("host", "/b/1")).isEmpty();
+	}
+
+}
--- /dev/null
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
@@ -0,0 +1,273 @@
+package io.verbenatrack.fleet.policy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.fleet.Fixtures;
+import io.verbenatrack.fleet.model.JobPlan;
+import io.verbenatrack.fleet.model.ReportedEnd;
+import io.verbenatrack.fleet.model.ReportedRun;
+import io.verbenatrack.fleet.model.RunEnd;
+import io.verbenatrack.fleet.model.TaskId;
+import io.verbenatrack.fleet.model.WorkerLife;
+import io.verbenatrack.fleet.model.WorkerOrders;
+import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.state.FleetBatch;
+import io.verbenatrack.fleet.state.FleetCommand;
+import io.verbenatrack.fleet.state.FleetState;
+import io.verbenatrack.model.AccountId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link FleetLeader}: what it orders, and what it may not order.
+ */
+public class FleetLeaderTests {
+
+	private static final FleetTimings TIMINGS = new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250),
+			Duration.ofMillis(1200), Duration.ofMillis(200), Duration.ofMillis(500), 3);
+
+	private static final WorkerLife ONE = Fixtures.life(1);
+
+	private static final WorkerLife TWO = Fixtures.life(2);
+
+	private FleetState state;
+
+	private FleetLeader leader;
+
+	private long term;
+
+	private long sequence;
+
+	private long nowMillis;
+
+	private long reports;
+
+	@BeforeMethod
+	void lead() {
+		this.state = new FleetState();
+		this.nowMillis = 0;
+		this.term = 0;
+		this.reports = 0;
+		nextLeader();
+		commit(List.of(new FleetCommand.AdoptConfiguration(Fixtures.configuration(1), new byte[0])));
+	}
+
+	private void nextLeader() {
+		this.term++;
+		this.sequence = 0;
+		this.leader = new FleetLeader(this.state, TIMINGS, this.term, nanos());
+	}
+
+	private long nanos() {
+		return Duration.ofMillis(this.nowMillis).toNanos();
+	}
+
+	private void commit(List<FleetCommand> commands) {
+		assertThat(this.state.apply(new FleetBatch(this.term, ++this.sequence, commands))).isTrue();
+	}
+
+	private void accept(int job, String queue, JobPlan plan) {
+		commit(List
+			.of(new FleetCommand.AcceptJob(Fixtures.job(job), queue, new AccountId("account"), plan, this.nowMillis)));
+	}
+
+	private static TaskId task(int job, int index) {
+		return new TaskId(Fixtures.job(job), 0, 0, index);
+	}
+
+	private static ReportedRun running(int job, int index, int run) {
+		return new ReportedRun(task(job, index), run, "", 10);
+	}
+
+	private WorkerOrders report(WorkerLife life, List<ReportedRun> running, ReportedEnd... ended) {
+		return report(Fixtures.report(life, ++this.reports, false, running, List.of(ended)));
+	}
+
+	private WorkerOrders report(WorkerReport report) {
+		commit(this.leader.heard(report, nanos()).orElse(List.of()));
+		place();
+		return this.leader.orders(report);
+	}
+
+	private void place() {
+		commit(this.leader.lostRuns(nanos()));
+		commit(this.leader.place(nanos(), this.nowMillis));
+	}
+
+	@Test
+	public void startLeavesWithTheAnswerAndAgainUntilItIsListed() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		assertThat(report(ONE, List.of()).starts()).extracting(WorkerOrders.Start::run).containsExactly(1);
+		assertThat(report(ONE, List.of()).starts()).extracting(WorkerOrders.Start::run).containsExactly(1);
+		assertThat(report(ONE, List.of(running(1, 0, 1))).starts()).isEmpty();
+	}
+
+	@Test
+	public void endIsTakenNoteOfOnceItIsRecorded() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		WorkerOrders orders = report(ONE, List.of(), new ReportedEnd(7, task(1, 0), 1, RunEnd.DONE, ""));
+		assertThat(orders.takenNote()).isEqualTo(7);
+		assertThat(this.state.openJobs()).isEmpty();
+		assertThat(orders.starts()).isEmpty();
+	}
+
+	@Test
+	public void olderReportGetsNoLeaseAndNoOrders() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		WorkerReport late = Fixtures.report(ONE, 0, false, List.of(), List.of());
+		assertThat(this.leader.heard(late, nanos())).isEmpty();
+		WorkerOrders orders = this.leader.orders(late);
+		assertThat(orders.leaseMillis()).isZero();
+		assertThat(orders.starts()).isEmpty();
+	}
+
+	@Test
+	public void reportOfAnEarlierLifeIsIgnored() {
+		report(Fixtures.report(new WorkerLife(ONE.worker(), 9), 1, false, List.of(), List.of()));
+		assertThat(this.leader.heard(Fixtures.report(ONE, 99, false, List.of(), List.of()), nanos())).isEmpty();
+	}
+
+	@Test
+	public void newLifeMeansThatTheRunsOfTheOldOneAreLost() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		WorkerOrders orders = report(Fixtures.report(new WorkerLife(ONE.worker(), 9), 1, false, List.of(), List.of()));
+		assertThat(orders.starts()).extracting(WorkerOrders.Start::run).containsExactly(2);
+	}
+
+	@Test
+	public void silentWorkersRunsStartElsewhereOnlyAfterItsLease() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		for (int report = 0; report < 31; report++) {
+			this.nowMillis += 200;
+			assertThat(report(TWO, List.of()).starts()).as("after %d ms", this.nowMillis).isEmpty();
+		}
+		this.nowMillis += 400;
+		assertThat(report(TWO, List.of()).starts()).extracting(WorkerOrders.Start::run).containsExactly(2);
+	}
+
+	@Test
+	public void newLeaderWaitsOutTheLeasesOfTheOneBefore() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		this.nowMillis += 5900;
+		nextLeader();
+		this.nowMillis += 6000;
+		assertThat(report(TWO, List.of()).starts()).isEmpty();
+		this.nowMillis += 500;
+		assertThat(report(TWO, List.of()).starts()).hasSize(1);
+	}
+
+	@Test
+	public void newLeaderRepeatsAStartThatMayNotHaveLeft() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		nextLeader();
+		WorkerOrders orders = report(ONE, List.of());
+		assertThat(orders.starts()).extracting(WorkerOrders.Start::run).containsExactly(1);
+		assertThat(orders.fence()).isEqualTo(2);
+	}
+
+	@Test
+	public void leavingWorkerGetsNothingNew() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		assertThat(report(Fixtures.report(ONE, 1, true, List.of(), List.of())).starts()).isEmpty();
+		assertThat(report(Fixtures.report(ONE, 2, false, List.of(), List.of())).starts()).hasSize(1);
+	}
+
+	@Test
+	public void startThatHasNotArrivedIsWithdrawnFromALeavingWorker() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		WorkerOrders orders = report(Fixtures.report(ONE, ++this.reports, true, List.of(), List.of()));
+		assertThat(orders.starts()).isEmpty();
+		assertThat(orders.stops()).hasSize(1);
+		report(Fixtures.report(ONE, ++this.reports, true, List.of(), List.of()));
+		report(Fixtures.report(ONE, ++this.reports, true, List.of(), List.of()));
+		assertThat(report(TWO, List.of()).starts()).extracting(WorkerOrders.Start::run).containsExactly(2);
+	}
+
+	@Test
+	public void cancelledJobsRunIsStoppedUntilItsEndIsListed() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		report(ONE, List.of(running(1, 0, 1)));
+		commit(List.of(new FleetCommand.CancelJob(Fixtures.job(1))));
+		assertThat(report(ONE, List.of(running(1, 0, 1))).stops()).hasSize(1);
+		assertThat(report(ONE, List.of(), new ReportedEnd(1, task(1, 0), 1, RunEnd.STOPPED, "")).stops()).isEmpty();
+	}
+
+	@Test
+	public void runThatTheStateDoesNotKnowIsStopped() {
+		assertThat(report(ONE, List.of(running(9, 0, 1))).stops())
+			.containsExactly(new WorkerOrders.Stop(task(9, 0), 1));
+	}
+
+	@Test
+	public void gangStartsWholeOrNotAtAll() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(2, 8, true)));
+		assertThat(report(ONE, List.of()).starts()).isEmpty();
+		report(TWO, List.of());
+		assertThat(report(TWO, List.of()).starts()).hasSize(1);
+		assertThat(report(ONE, List.of()).starts()).hasSize(1);
+	}
+
+	@Test
+	public void gangThatLostAMemberStopsAsAWhole() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(2, 8, true)));
+		report(ONE, List.of());
+		report(TWO, List.of());
+		report(ONE, List.of(running(1, 0, 1)));
+		report(TWO, List.of(running(1, 1, 1)));
+		TaskId first = this.state.runsOn(ONE).keySet().iterator().next();
+		report(ONE, List.of(), new ReportedEnd(1, first, 1, RunEnd.REFUSED, ""));
+		TaskId second = this.state.runsOn(TWO).keySet().iterator().next();
+		WorkerOrders orders = report(TWO, List.of(new ReportedRun(second, 1, "", 10)));
+		assertThat(orders.stops()).containsExactly(new WorkerOrders.Stop(second, 1));
+	}
+
+	@Test
+	public void guaranteedJobPreemptsWorkOfLowerPriority() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(8, 1, false)));
+		report(ONE, List.of());
+		List<ReportedRun> runs = new ArrayList<>();
+		this.state.runsOn(ONE).forEach((task, run) -> runs.add(new ReportedRun(task, run, "", 10)));
+		accept(2, "urgent", Fixtures.plan(Fixtures.step(1, 8, true)));
+		assertThat(report(ONE, runs).stops()).isEmpty();
+		this.nowMillis += 600;
+		assertThat(report(ONE, runs).stops()).hasSize(8);
+	}
+
+	@Test
+	public void jobBeyondTheGuaranteeDoesNotPreemptCostlyWork() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(8, 1, false)));
+		report(ONE, List.of());
+		List<ReportedRun> runs = new ArrayList<>();
+		this.state.runsOn(ONE).forEach((task, run) -> runs.add(new ReportedRun(task, run, "", 90)));
+		accept(2, "urgent", Fixtures.plan(Fixtures.step(3, 8, true)));
+		this.nowMillis += 600;
+		assertThat(report(ONE, runs).stops()).isEmpty();
+	}
+
+	@Test
+	public void workerOnWhichTwoJobsFailedGetsNothingForAWhile() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		accept(2, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		report(ONE, List.of(), new ReportedEnd(1, task(1, 0), 1, RunEnd.FAILED, ""),
+				new ReportedEnd(2, task(2, 0), 1, RunEnd.FAILED, ""));
+		accept(3, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		assertThat(report(ONE, List.of()).starts()).isEmpty();
+		this.nowMillis += 6500;
+		assertThat(report(ONE, List.of()).starts()).isNotEmpty();
+	}
+
+}
--- /dev/null
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/FleetStateTests.java
@@ -0,0 +1,185 @@
+package io.verbenatrack.fleet.state;
+
+import java.util.List;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.fleet.Fixtures;
+import io.verbenatrack.fleet.model.JobPhase;
+import io.verbenatrack.fleet.model.JobPlan;
+import io.verbenatrack.fleet.model.RunEnd;
+import io.verbenatrack.fleet.model.TaskId;
+import io.verbenatrack.fleet.model.WorkerLife;
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.JobId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link FleetState}.
+ */
+public class FleetStateTests {
+
+	private static final JobId JOB = Fixtures.job(1);
+
+	private static final WorkerLife LIFE = Fixtures.life(1);
+
+	private FleetState state;
+
+	private long sequence;
+
+	@BeforeMethod
+	void adoptConfiguration() {
+		this.state = new FleetState();
+		this.sequence = 0;
+		apply(new FleetCommand.AdoptConfiguration(Fixtures.configuration(5), new byte[] { 5 }));
+	}
+
+	private void apply(FleetCommand... commands) {
+		assertThat(this.state.apply(new FleetBatch(1, ++this.sequence, List.of(commands)))).isTrue();
+	}
+
+	private void accept(JobPlan plan) {
+		apply(new FleetCommand.AcceptJob(JOB, "batch", new AccountId("account"), plan, 1000));
+	}
+
+	private static TaskId task(int step, int index) {
+		return new TaskId(JOB, 0, step, index);
+	}
+
+	private void start(TaskId task, int run) {
+		apply(new FleetCommand.StartRun(task, run, LIFE));
+	}
+
+	private void end(TaskId task, int run, RunEnd how) {
+		apply(new FleetCommand.EndRun(task, run, LIFE, how, ""));
+	}
+
+	private JobPhase phase() {
+		return this.state.job(JOB).orElseThrow().phase();
+	}
+
+	@Test
+	public void batchDecidedOnAnotherStateIsRefused() {
+		assertThat(this.state.apply(new FleetBatch(1, 1, List.of()))).isFalse();
+		assertThat(this.state.apply(new FleetBatch(1, 3, List.of()))).isFalse();
+		assertThat(this.state.apply(new FleetBatch(2, 2, List.of()))).isFalse();
+		assertThat(this.state.apply(new FleetBatch(3, 1, List.of()))).isTrue();
+		assertThat(this.state.apply(new FleetBatch(2, 1, List.of()))).isFalse();
+	}
+
+	@Test
+	public void lowerVersionNeverReplacesAHigherOne() {
+		apply(new FleetCommand.AdoptConfiguration(Fixtures.configuration(4), new byte[] { 4 }));
+		assertThat(this.state.version()).isEqualTo(5);
+		assertThat(this.state.document()).containsExactly(5);
+	}
+
+	@Test
+	public void otherContentUnderTheVersionHeldIsNotAdopted() {
+		apply(new FleetCommand.AdoptConfiguration(Fixtures.configuration(5), new byte[] { 6 }));
+		assertThat(this.state.document()).containsExactly(5);
+	}
+
+	@Test
+	public void jobSubmittedAgainStaysOneJob() {
+		accept(Fixtures.plan(Fixtures.step(1, 1, false)));
+		start(task(0, 0), 1);
+		accept(Fixtures.plan(Fixtures.step(9, 1, false)));
+		assertThat(this.state.step(task(0, 0)).orElseThrow().tasks()).hasSize(1);
+		assertThat(phase()).isEqualTo(JobPhase.RUNNING);
+	}
+
+	@Test
+	public void jobIsCompletedOnlyOnceEveryTaskIsDone() {
+		accept(Fixtures.plan(Fixtures.step(2, 1, false), Fixtures.step(1, 1, false, 0)));
+		start(task(0, 0), 1);
+		end(task(0, 0), 1, RunEnd.DONE);
+		assertThat(this.state.job(JOB).orElseThrow().unblocked(0, 1)).isFalse();
+		start(task(0, 1), 1);
+		end(task(0, 1), 1, RunEnd.DONE);
+		assertThat(this.state.job(JOB).orElseThrow().unblocked(0, 1)).isTrue();
+		assertThat(phase()).isEqualTo(JobPhase.RUNNING);
+		start(task(1, 0), 1);
+		end(task(1, 0), 1, RunEnd.DONE);
+		assertThat(phase()).isEqualTo(JobPhase.COMPLETED);
+		assertThat(this.state.livesInUse()).isEmpty();
+	}
+
+	@Test
+	public void endOfAnEarlierRunChangesNothing() {
+		accept(Fixtures.plan(Fixtures.step(1, 1, false)));
+		start(task(0, 0), 1);
+		end(task(0, 0), 1, RunEnd.LOST);
+		start(task(0, 0), 2);
+		end(task(0, 0), 1, RunEnd.DONE);
+		assertThat(phase()).isEqualTo(JobPhase.RUNNING);
+		assertThat(this.state.runsOn(LIFE)).containsEntry(task(0, 0), 2);
+	}
+
+	@Test
+	public void oneEndOfAGangAsDoneStandsForAllMembers() {
+		accept(Fixtures.plan(Fixtures.step(3, 1, true)));
+		apply(new FleetCommand.StartRun(task(0, 0), 1, LIFE),
+				new FleetCommand.StartRun(task(0, 1), 1, Fixtures.life(2)),
+				new FleetCommand.StartRun(task(0, 2), 1, Fixtures.life(3)));
+		end(task(0, 0), 1, RunEnd.DONE);
+		assertThat(phase()).isEqualTo(JobPhase.COMPLETED);
+		assertThat(this.state.livesInUse()).isEmpty();
+	}
+
+	@Test
+	public void runInWhichSeveralMembersOfAGangFailCountsOnce() {
+		accept(Fixtures.plan(Fixtures.step(2, 1, true)));
+		apply(new FleetCommand.StartRun(task(0, 0), 1, LIFE), new FleetCommand.StartRun(task(0, 1), 1, LIFE));
+		end(task(0, 0), 1, RunEnd.FAILED);
+		end(task(0, 1), 1, RunEnd.FAILED);
+		assertThat(phase()).isEqualTo(JobPhase.RUNNING);
+		apply(new FleetCommand.StartRun(task(0, 0), 2, LIFE), new FleetCommand.StartRun(task(0, 1), 2, LIFE));
+		end(task(0, 1), 2, RunEnd.FAILED);
+		assertThat(phase()).isEqualTo(JobPhase.FAILED);
+	}
+
+	@Test
+	public void onlyFailuresCountAsAttempts() {
+		accept(Fixtures.plan(Fixtures.step(1, 1, false)));
+		int run = 0;
+		for (RunEnd how : List.of(RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.LOST, RunEnd.REFUSED, RunEnd.FAILED)) {
+			start(task(0, 0), ++run);
+			end(task(0, 0), run, how);
+			assertThat(phase()).isEqualTo(JobPhase.RUNNING);
+		}
+		start(task(0, 0), ++run);
+		end(task(0, 0), run, RunEnd.FAILED);
+		assertThat(phase()).isEqualTo(JobPhase.FAILED);
+	}
+
+	@Test
+	public void cancelledJobStaysCancelledAndItsRunsStayKnown() {
+		accept(Fixtures.plan(Fixtures.step(1, 1, false)));
+		start(task(0, 0), 1);
+		apply(new FleetCommand.CancelJob(JOB));
+		assertThat(this.state.runsOn(LIFE)).containsKey(task(0, 0));
+		end(task(0, 0), 1, RunEnd.DONE);
+		assertThat(phase()).isEqualTo(JobPhase.CANCELLED);
+	}
+
+	@Test
+	public void snapshotRestoresEverything() {
+		FleetCodec codec = new FleetCodec();
+		accept(Fixtures.plan(Fixtures.step(2, 1, true), Fixtures.step(1, 1, false, 0)));
+		start(task(0, 0), 1);
+		start(task(0, 1), 1);
+		FleetState copy = new FleetState();
+		codec.restore(copy, codec.snapshot(this.state));
+		assertThat(codec.snapshot(copy)).isEqualTo(codec.snapshot(this.state));
+		assertThat(copy.runsOn(LIFE)).isEqualTo(this.state.runsOn(LIFE));
+		assertThat(copy.openJobs()).hasSize(1);
+		FleetBatch next = codec.batch(codec.encode(new FleetBatch(1, this.sequence + 1,
+				List.of(new FleetCommand.EndRun(task(0, 0), 1, LIFE, RunEnd.DONE, "")))));
+		assertThat(copy.apply(next)).isTrue();
+		assertThat(copy.step(task(0, 0)).orElseThrow().done()).isTrue();
+	}
+
+}
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLines.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLines.java
@@ -1,6 +1,10 @@
 package io.verbenatrack.fleetd;
 
+import java.util.stream.Collectors;
+
+import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.TaskId;
+import io.verbenatrack.fleet.policy.FleetNote;
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.telemetry.EventLog;
 import io.verbenatrack.telemetry.EventLog.Field;
@@ -17,9 +21,9 @@
 	static void write(EventLog events, long term, FleetCommand command) {
 		Field inTerm = new Field("term", term);
 		switch (command) {
-			case FleetCommand.AcceptJob accept ->
-				events.write(LogEvent.FLEET_JOB_ACCEPTED, new Field("job", accept.job()),
-						new Field("queue", accept.queue()), new Field("account", accept.account()), inTerm);
+			case FleetCommand.AcceptJob accept -> events.write(LogEvent.FLEET_JOB_ACCEPTED,
+					new Field("job", accept.job()), new Field("queue", accept.queue()),
+					new Field("account", accept.account()), new Field("steps", shape(accept.plan())), inTerm);
 			case FleetCommand.CancelJob cancel ->
 				events.write(LogEvent.FLEET_JOB_CANCELLED, new Field("job", cancel.job()), inTerm);
 			case FleetCommand.StartRun start -> events.write(LogEvent.FLEET_RUN_STARTED,
@@ -36,6 +40,37 @@
 		}
 	}
 
+	static void write(EventLog events, long term, FleetNote note) {
+		Field inTerm = new Field("term", term);
+		switch (note) {
+			case FleetNote.WorkerJoined joined ->
+				events.write(LogEvent.FLEET_WORKER_JOINED, new Field("worker", joined.report().life().worker()),
+						new Field("born", joined.report().life().bornMillis()),
+						new Field("zone", joined.report().zone()), new Field("rack", joined.report().rack()),
+						new Field("running", joined.report().running().size()), inTerm);
+			case FleetNote.WorkerDraining draining -> events.write(LogEvent.FLEET_WORKER_DRAINING,
+					new Field("worker", draining.life().worker()), new Field("running", draining.running()), inTerm);
+			case FleetNote.WorkerGone gone -> events.write(LogEvent.FLEET_WORKER_GONE,
+					new Field("worker", gone.life().worker()), new Field("silentMillis", gone.silentMillis()), inTerm);
+			case FleetNote.WorkerSuspected suspected ->
+				events.write(LogEvent.FLEET_WORKER_SUSPECTED, new Field("worker", suspected.life().worker()), inTerm);
+			case FleetNote.RunPreempted preempted ->
+				events.write(LogEvent.FLEET_RUN_PREEMPTED, new Field("job", preempted.task().job()),
+						new Field("task", text(preempted.task())), new Field("run", preempted.run()), inTerm);
+			case FleetNote.JobWaits waits -> events.write(LogEvent.FLEET_JOB_WAITS, new Field("job", waits.job()),
+					new Field("step", waits.step()), new Field("tasks", waits.tasks()),
+					new Field("accelerators", waits.accelerators()), new Field("outlook", waits.outlook()), inTerm);
+		}
+	}
+
+	private static String shape(JobPlan plan) {
+		return plan.steps()
+			.stream()
+			.map((step) -> step.count() + "x" + step.room().accelerators() + (step.gang() ? " gang" : "")
+					+ (step.rackSensitive() ? " rack" : "") + " " + step.estimatedMillis() + " ms")
+			.collect(Collectors.joining(", "));
+	}
+
 	private static String text(TaskId task) {
 		return task.occurrence() + "." + task.step() + "." + task.index();
 	}
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -149,6 +149,7 @@
 		if (outcome == Outcome.COMMITTED) {
 			outcome = placed(present);
 		}
+		present.leader.takeNotes().forEach((note) -> DecisionLines.write(this.events, present.term, note));
 		answer(taken, decisions, outcome);
 		if (outcome != Outcome.COMMITTED) {
 			endTerm();
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -193,7 +193,15 @@
 	/** The settings file changed and cannot be used. */
 	SETTINGS_UNREADABLE(6021, System.Logger.Level.WARNING,
 			"The settings file cannot be read; the settings from before stay in force.",
-			"Correct what the field problem names.");
+			"Correct what the field problem names."),
+
+	/** A job found no room. */
+	FLEET_JOB_WAITS(6022, System.Logger.Level.INFO, "A job waits since no workers have room for it.",
+			"Nothing to do; add workers when many jobs wait."),
+
+	/** Jobs fail on a worker one after the other. */
+	FLEET_WORKER_SUSPECTED(6023, System.Logger.Level.WARNING,
+			"Several jobs failed on a worker in a row, so it gets nothing new for a while.", "Check the worker.");
 
 	private final int number;
 
