--- a/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualWorker.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualWorker.java
@@ -27,6 +27,8 @@
 
 	private static final Room ROOM = new Room(64_000, 262_144, 8);
 
+	private static final long STAY_MILLIS = 2000;
+
 	private final WorkerLife life;
 
 	private final String rack;
@@ -89,8 +91,8 @@
 					run.percent()))
 			.toList();
 		return new WorkerReport(this.life, "host-" + this.life.worker() + ":1", new ServiceId("service"),
-				new ZoneId("zone"), this.rack, Set.of("a", this.rack), ROOM, this.draining, ++this.sequence, running,
-				this.ends);
+				new ZoneId("zone"), this.rack, Set.of("a", this.rack), ROOM, this.draining, STAY_MILLIS,
+				++this.sequence, running, this.ends);
 	}
 
 	void obey(WorkerOrders orders, long nowMillis, VirtualRun.Factory factory) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/model/WorkerReport.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/model/WorkerReport.java
@@ -17,12 +17,13 @@
  * @param labels all its labels
  * @param room its whole room
  * @param draining whether it is about to leave
+ * @param stayMillis how long a draining worker stays at least
  * @param sequence grows with each report of one life
  * @param running what runs on it
  * @param ended what ended on it and was not taken note of yet
  */
 public record WorkerReport(WorkerLife life, String address, ServiceId service, ZoneId zone, String rack,
-		Set<String> labels, Room room, boolean draining, long sequence, List<ReportedRun> running,
+		Set<String> labels, Room room, boolean draining, long stayMillis, long sequence, List<ReportedRun> running,
 		List<ReportedEnd> ended) {
 
 	public WorkerReport {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
@@ -32,6 +32,8 @@
 	/** An order that is under way for longer than this many reports was lost. */
 	private static final int UNLISTED_REPORTS = 3;
 
+	private static final int WHOLE_PERCENT = 100;
+
 	private final FleetState state;
 
 	private final FleetTimings timings;
@@ -246,26 +248,36 @@
 				&& this.state.step(task).filter(StepState::broken).isEmpty() && !leavingMember(task);
 	}
 
-	// Whether a member of the task's gang was to start on a worker that leaves.
+	// Whether the task, or a member of its gang, is on a worker that leaves before it
+	// ends.
 	private boolean leavingMember(TaskId task) {
-		Optional<StepState> gang = this.state.step(task).filter((step) -> step.spec().gang());
-		if (gang.isEmpty()) {
-			return false;
+		Optional<StepState> step = this.state.step(task);
+		if (step.isEmpty() || !step.get().spec().gang()) {
+			return step.isPresent() && outlivesWorker(task, step.get());
 		}
-		for (int index = 0; index < gang.get().tasks().size(); index++) {
-			TaskState member = gang.get().tasks().get(index);
-			TaskId name = new TaskId(task.job(), task.occurrence(), task.step(), index);
-			boolean leaving = member.runningOn()
-				.flatMap((life) -> this.board.worker(life.worker()).filter((worker) -> worker.life().equals(life)))
-				.filter((worker) -> worker.report().draining() && !worker.reportsRunning(name, member.run()))
-				.isPresent();
-			if (leaving) {
+		for (int index = 0; index < step.get().tasks().size(); index++) {
+			TaskId member = new TaskId(task.job(), task.occurrence(), task.step(), index);
+			if (outlivesWorker(member, step.get())) {
 				return true;
 			}
 		}
 		return false;
 	}
 
+	private boolean outlivesWorker(TaskId task, StepState step) {
+		TaskState state = step.tasks().get(task.index());
+		return state.runningOn()
+			.flatMap((life) -> this.board.worker(life.worker()).filter((worker) -> worker.life().equals(life)))
+			.filter((worker) -> worker.report().draining())
+			.filter((worker) -> !worker.reportsRunning(task, state.run())
+					|| leftMillis(worker, task, step) > worker.report().stayMillis())
+			.isPresent();
+	}
+
+	private static long leftMillis(KnownWorker worker, TaskId task, StepState step) {
+		return step.spec().estimatedMillis() * (WHOLE_PERCENT - worker.percent(task)) / WHOLE_PERCENT;
+	}
+
 	private WorkerOrders.Start start(TaskId task, int run) {
 		JobState job = this.state.job(task.job()).orElseThrow();
 		StepState step = job.step(task.occurrence(), task.step());
--- a/fleet/src/test/java/io/verbenatrack/fleet/Fixtures.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/Fixtures.java
@@ -34,6 +34,9 @@
 	/** The room of each worker. */
 	public static final Room WORKER_ROOM = new Room(64_000, 262_144, 8);
 
+	/** How long draining workers stay. */
+	private static final long STAY_MILLIS = 2000;
+
 	private Fixtures() {
 	}
 
@@ -110,7 +113,7 @@
 	public static WorkerReport report(WorkerLife life, long sequence, boolean draining, List<ReportedRun> running,
 			List<ReportedEnd> ended) {
 		return new WorkerReport(life, life.worker() + ":80", SERVICE, new ZoneId("zone"), "rack-1",
-				Set.of("a", "rack-1"), WORKER_ROOM, draining, sequence, new ArrayList<>(running),
+				Set.of("a", "rack-1"), WORKER_ROOM, draining, STAY_MILLIS, sequence, new ArrayList<>(running),
 				new ArrayList<>(ended));
 	}
 
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
@@ -282,4 +282,15 @@
 		assertThat(report(TWO, List.of()).starts()).extracting(WorkerOrders.Start::run).containsExactly(2);
 	}
 
+	@Test
+	public void leavingWorkerKeepsWhatEndsInTimeAndStopsWhatDoesNot() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(2, 1, false)));
+		report(ONE, List.of());
+		ReportedRun nearlyDone = new ReportedRun(task(1, 0), 1, "", 90);
+		ReportedRun justBegun = new ReportedRun(task(1, 1), 1, "", 10);
+		WorkerOrders orders = report(
+				Fixtures.report(ONE, ++this.reports, true, List.of(nearlyDone, justBegun), List.of()));
+		assertThat(orders.stops()).containsExactly(new WorkerOrders.Stop(task(1, 1), 1));
+	}
+
 }
--- /dev/null
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DepartureInterceptor.java
@@ -0,0 +1,49 @@
+package io.verbenatrack.fleetd;
+
+import io.grpc.Attributes;
+import io.grpc.CallOptions;
+import io.grpc.Channel;
+import io.grpc.ClientCall;
+import io.grpc.ClientInterceptor;
+import io.grpc.ClientStreamTracer;
+import io.grpc.Metadata;
+import io.grpc.MethodDescriptor;
+
+/**
+ * Tells when a call gets onto a connection. A call that fails before that cannot have
+ * arrived, so that its caller may be told that nothing ran.
+ */
+final class DepartureInterceptor implements ClientInterceptor {
+
+	private final Runnable left;
+
+	/**
+	 * Creates an interceptor for one call.
+	 * @param left run when the call may leave, before it does
+	 */
+	DepartureInterceptor(Runnable left) {
+		this.left = left;
+	}
+
+	@Override
+	public <Q, A> ClientCall<Q, A> interceptCall(MethodDescriptor<Q, A> method, CallOptions options, Channel next) {
+		return next.newCall(method, options.withStreamTracerFactory(new ClientStreamTracer.Factory() {
+
+			@Override
+			public ClientStreamTracer newClientStreamTracer(ClientStreamTracer.StreamInfo info, Metadata headers) {
+				return new Tracer();
+			}
+
+		}));
+	}
+
+	private final class Tracer extends ClientStreamTracer {
+
+		@Override
+		public void streamCreated(Attributes transport, Metadata headers) {
+			DepartureInterceptor.this.left.run();
+		}
+
+	}
+
+}
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
@@ -130,6 +130,8 @@
 
 		private boolean mayHaveArrived;
 
+		private volatile boolean attemptLeft;
+
 		private Attempts(FleetCall call, long deadlineNanos) {
 			this.call = call;
 			this.deadlineNanos = deadlineNanos;
@@ -150,7 +152,9 @@
 			CommandRequest request = CommandRequest.newBuilder()
 				.setCommand(ByteString.copyFrom(LeaderClient.this.codec.encode(this.call)))
 				.build();
+			this.attemptLeft = false;
 			EntryServiceGrpc.newStub(channel)
+				.withInterceptors(new DepartureInterceptor(() -> this.attemptLeft = true))
 				.withDeadlineAfter(Math.min(left, ATTEMPT.toNanos()), TimeUnit.NANOSECONDS)
 				.execute(request, new Answer(this, host, channel));
 		}
@@ -174,7 +178,7 @@
 
 		private void failed(String host, ManagedChannel channel, Throwable failure) {
 			Status.Code code = Status.fromThrowable(failure).getCode();
-			this.mayHaveArrived = true;
+			this.mayHaveArrived |= this.attemptLeft;
 			if (code == Status.Code.DEADLINE_EXCEEDED) {
 				replace(host, channel);
 			}
