--- a/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
@@ -37,6 +37,11 @@
 	/** Several times what a commit takes on a slow disk. */
 	private static final Duration ATTEMPT = Duration.ofMillis(700);
 
+	/**
+	 * An attempt that cannot be answered in time would only leave its outcome unknown.
+	 */
+	private static final Duration SHORTEST_ATTEMPT = Duration.ofMillis(100);
+
 	/** Between two attempts while no leader is known. */
 	private static final Duration PAUSE = Duration.ofMillis(50);
 
@@ -128,6 +133,8 @@
 
 		private final long deadlineNanos;
 
+		private boolean tried;
+
 		private boolean mayHaveArrived;
 
 		private volatile boolean attemptLeft;
@@ -139,7 +146,7 @@
 
 		private void next(Optional<String> hint) {
 			long left = this.deadlineNanos - LeaderClient.this.clock.nanoTime();
-			if (left <= 0) {
+			if (left <= (this.tried ? SHORTEST_ATTEMPT.toNanos() : 0)) {
 				this.result.complete(
 						this.mayHaveArrived ? new FleetReply.OutcomeUnknown()
 								: new FleetReply.Refused(new Problem(ProblemKind.UNAVAILABLE,
@@ -153,6 +160,7 @@
 				.setCommand(ByteString.copyFrom(LeaderClient.this.codec.encode(this.call)))
 				.build();
 			this.attemptLeft = false;
+			this.tried = true;
 			EntryServiceGrpc.newStub(channel)
 				.withInterceptors(new DepartureInterceptor(() -> this.attemptLeft = true))
 				.withDeadlineAfter(Math.min(left, ATTEMPT.toNanos()), TimeUnit.NANOSECONDS)
