--- a/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
@@ -46,9 +46,10 @@
 	private static final Duration PAUSE = Duration.ofMillis(50);
 
 	/**
-	 * When callers may come back while no leader is known; an election is over by then.
+	 * When callers may come back while no leader is known: twice the length of an
+	 * election.
 	 */
-	private static final long NO_LEADER_RETRY_MILLIS = 1000;
+	private static final long NO_LEADER_RETRY_MILLIS = 2000;
 
 	private final ConcurrentHashMap<String, ManagedChannel> channels = new ConcurrentHashMap<>();
 
