--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacement.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
@@ -20,7 +20,7 @@
  * has room, else the one that is left with the least. It is spread over racks only when
  * no rack is large enough even when empty, or when it has waited for too long.
  */
-final class GangPlacement {
+final class GangPlacer {
 
 	private final Collection<Host> hosts;
 
@@ -28,7 +28,7 @@
 
 	private final long nowMillis;
 
-	GangPlacement(Collection<Host> hosts, Reservations reservations, long nowMillis) {
+	GangPlacer(Collection<Host> hosts, Reservations reservations, long nowMillis) {
 		this.hosts = hosts;
 		this.reservations = reservations;
 		this.nowMillis = nowMillis;
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -147,14 +147,17 @@
 
 	private void placeGang(PendingStep step, Collection<Host> candidates) {
 		boolean spread = step.queue().priority() == 0 && waitedMillis(step) > SPREAD_MILLIS;
-		Optional<Map<Integer, Host>> found = new GangPlacement(candidates, this.reservations, this.nowMillis)
-			.place(step, spread);
+		Optional<Map<Integer, Host>> found = new GangPlacer(candidates, this.reservations, this.nowMillis).place(step,
+				spread);
 		if (found.isPresent()) {
 			int run = step.step().nextGangRun();
 			found.get().forEach((index, host) -> start(step, index, run, host));
 		}
-		else if (!preempt(step, candidates)) {
-			this.reservations.keep(step, candidates, this.nowMillis);
+		else {
+			noteWaiting(step);
+			if (!preempt(step, candidates)) {
+				this.reservations.keep(step, candidates, this.nowMillis);
+			}
 		}
 	}
 
@@ -172,6 +175,7 @@
 			}
 		}
 		if (!all) {
+			noteWaiting(step);
 			preempt(step, candidates);
 		}
 	}
@@ -213,7 +217,6 @@
 	}
 
 	private boolean preempt(PendingStep step, Collection<Host> candidates) {
-		noteWaiting(step);
 		boolean owed = guaranteed(step);
 		boolean urgent = step.queue().priority() == 0 && Outlook.of(step, this.nowMillis) == Outlook.IN_TIME;
 		if ((!owed && !urgent) || waitedMillis(step) < this.timings.preemptAfter().toMillis()) {
