--- a/cli/src/main/java/io/verbenatrack/cli/explain/LogStory.java
+++ b/cli/src/main/java/io/verbenatrack/cli/explain/LogStory.java
@@ -37,6 +37,8 @@
 
 	private final String id;
 
+	private int place;
+
 	private final List<Line> own = new ArrayList<>();
 
 	private final List<Line> others = new ArrayList<>();
@@ -73,8 +75,8 @@
 	private Optional<Line> parse(String source, String text) {
 		try {
 			JsonNode event = JSON.readTree(text);
-			return Optional.of(new Line(Instant.parse(event.path("time").asText()), source, event.path("name").asText(),
-					event.path("fields")));
+			return Optional.of(new Line(Instant.parse(event.path("time").asText()), this.place++, source,
+					event.path("name").asText(), event.path("fields")));
 		}
 		catch (JsonProcessingException | DateTimeParseException ex) {
 			// A process may write other lines than events, such as warnings of the
@@ -109,7 +111,7 @@
 			return List.of("No log names " + this.id + ". Give the logs of every instance for the time of the call.");
 		}
 		List<Line> story = new ArrayList<>(this.own);
-		this.own.sort(Comparator.comparing(Line::time));
+		this.own.sort(Line.IN_ORDER);
 		Instant first = this.own.getFirst().time().minus(GAP);
 		Instant last = this.own.getLast().time().plus(GAP);
 		Set<String> workers = new HashSet<>();
@@ -118,7 +120,7 @@
 			.filter((line) -> !line.time().isBefore(first) && !line.time().isAfter(last))
 			.filter((line) -> FOR_ALL.contains(line.name()) || concernsWorker(line, workers))
 			.forEach(story::add);
-		story.sort(Comparator.comparing(Line::time));
+		story.sort(Line.IN_ORDER);
 		return texts(story);
 	}
 
@@ -141,7 +143,10 @@
 		return texts;
 	}
 
-	private record Line(Instant time, String source, String name, JsonNode fields) {
+	// Lines of one log and one time stay in the order in which they were written.
+	private record Line(Instant time, int place, String source, String name, JsonNode fields) {
+
+		static final Comparator<Line> IN_ORDER = Comparator.comparing(Line::time).thenComparingInt(Line::place);
 
 	}
 
