Never say 'not done' of a call whose change was committed

Cause, found on reading: when the changes of a turn were committed and its starts were not, FleetLoop answered all calls with 'not leading', which an entry may turn into a refusal although the job is stored. Change: what callers are told depends on the commit of their own changes; they get 'outcome unknown'.

--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -145,13 +145,11 @@
 		}
 		LeaderTerm present = beginTerm();
 		List<CallDecision> decisions = new ArrayList<>();
-		Outcome outcome = commit(present, decideCalls(present, taken, decisions));
-		if (outcome == Outcome.COMMITTED) {
-			outcome = placed(present);
-		}
+		Outcome changes = commit(present, decideCalls(present, taken, decisions));
+		boolean current = changes == Outcome.COMMITTED && placed(present) == Outcome.COMMITTED;
 		present.leader.takeNotes().forEach((note) -> DecisionLines.write(this.events, present.term, note));
-		answer(taken, decisions, outcome);
-		if (outcome != Outcome.COMMITTED) {
+		answer(taken, decisions, changes, current);
+		if (!current) {
 			endTerm();
 		}
 	}
@@ -217,15 +215,17 @@
 		return outcome;
 	}
 
-	private void answer(List<WaitingCall> taken, List<CallDecision> decisions, Outcome outcome) {
+	// A call whose change was committed is never said to be not done, whatever came
+	// after.
+	private void answer(List<WaitingCall> taken, List<CallDecision> decisions, Outcome changes, boolean current) {
 		for (int place = 0; place < taken.size(); place++) {
 			CallDecision decision = decisions.get(place);
-			boolean certain = outcome == Outcome.COMMITTED && this.log.leads();
+			boolean certain = current && this.log.leads();
 			FleetReply reply;
 			if (certain) {
 				reply = this.machine.read((state) -> decision.reply().apply(state));
 			}
-			else if (outcome == Outcome.NOT_DONE || decision.commands().isEmpty()) {
+			else if (changes == Outcome.NOT_DONE || decision.commands().isEmpty()) {
 				reply = new FleetReply.NotLeading(this.log.leader());
 			}
 			else {
--- /dev/null
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
@@ -0,0 +1,151 @@
+package io.verbenatrack.fleetd;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.control.Proposal;
+import io.verbenatrack.control.ReplicatedLog;
+import io.verbenatrack.fleet.call.FleetCall;
+import io.verbenatrack.fleet.call.FleetReply;
+import io.verbenatrack.fleet.model.CallLimits;
+import io.verbenatrack.fleet.model.FleetConfiguration;
+import io.verbenatrack.fleet.model.JobPlan;
+import io.verbenatrack.fleet.model.Queue;
+import io.verbenatrack.fleet.model.Room;
+import io.verbenatrack.fleet.model.StepSpec;
+import io.verbenatrack.fleet.model.WorkerLife;
+import io.verbenatrack.fleet.model.WorkerPool;
+import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.policy.FleetTimings;
+import io.verbenatrack.fleet.state.FleetCodec;
+import io.verbenatrack.fleet.state.FleetCommand;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.ServiceId;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.model.ZoneId;
+import io.verbenatrack.telemetry.EventLog;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link FleetLoop}: what callers are told when a commit fails.
+ */
+public class FleetLoopTests {
+
+	private static final ServiceId SERVICE = new ServiceId("service");
+
+	private static final FleetCall SUBMIT = new FleetCall.SubmitJob(
+			new FleetCall.Origin("host", "/q/0123456789abcdef", ""),
+			new JobPlan("payload", List.of(new StepSpec(1, new Room(1, 1, 1), 1000, List.of(), false, false,
+					Optional.empty(), Optional.empty(), 0, false, false, false)), 0, 0, 1));
+
+	private final FleetCodec codec = new FleetCodec();
+
+	private FleetStateMachine machine;
+
+	private FailingLog log;
+
+	private FleetLoop loop;
+
+	@BeforeMethod
+	void lead() throws Exception {
+		this.machine = new FleetStateMachine(this.codec);
+		this.log = new FailingLog();
+		this.loop = new FleetLoop(this.log, this.machine, this.codec,
+				new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250), Duration.ofSeconds(60),
+						Duration.ofMillis(200), Duration.ofMillis(500), 3),
+				MonotonicClock.system(), InstantSource.system(), EventLog.none());
+		this.loop.start();
+		Queue queue = new Queue("q", "host", "/q/", SERVICE, 0, 1, 1, 1000, 3000, true);
+		call(new FleetCall.ChangeConfiguration(new FleetConfiguration(1, List.of(queue),
+				List.of(new WorkerPool(SERVICE, true)), new CallLimits(1, 1, 1, 1), List.of()), new byte[0]));
+		call(new FleetCall.Heartbeat(new WorkerReport(new WorkerLife(new WorkerId("w"), 1), "w:1", SERVICE,
+				new ZoneId("z"), "r", Set.of("r"), new Room(10, 10, 8), false, 0, 1, List.of(), List.of())));
+	}
+
+	@AfterMethod
+	void stop() {
+		this.loop.close();
+	}
+
+	private FleetReply call(FleetCall call) throws Exception {
+		return this.loop.call(call, Duration.ofSeconds(5)).get(10, TimeUnit.SECONDS);
+	}
+
+	private boolean stored() {
+		return this.machine.read((state) -> state.job(new JobId("0123456789abcdef")).isPresent());
+	}
+
+	@Test
+	public void callIsAnsweredOnceItIsCommitted() throws Exception {
+		assertThat(call(SUBMIT)).isEqualTo(new FleetReply.Stored());
+		assertThat(stored()).isTrue();
+	}
+
+	@Test
+	public void callThatWasNotCommittedIsSaidNotToBeDone() throws Exception {
+		this.log.failing = FleetCommand.AcceptJob.class;
+		assertThat(call(SUBMIT)).isInstanceOf(FleetReply.NotLeading.class);
+		assertThat(stored()).isFalse();
+	}
+
+	@Test
+	public void callThatWasCommittedIsNotSaidNotToBeDoneWhenTheStartsAreNot() throws Exception {
+		this.log.failing = FleetCommand.StartRun.class;
+		assertThat(call(SUBMIT)).isEqualTo(new FleetReply.OutcomeUnknown());
+		assertThat(stored()).isTrue();
+	}
+
+	/** Commits all batches but those with one kind of command. */
+	private final class FailingLog implements ReplicatedLog {
+
+		private volatile Class<? extends FleetCommand> failing;
+
+		@Override
+		public CompletableFuture<Proposal> propose(byte[] command) {
+			Class<? extends FleetCommand> kind = this.failing;
+			boolean fails = kind != null
+					&& FleetLoopTests.this.codec.batch(command).commands().stream().anyMatch(kind::isInstance);
+			return CompletableFuture.completedFuture(fails ? new Proposal.NotLeader(Optional.empty())
+					: new Proposal.Committed(1, FleetLoopTests.this.machine.apply(1, command)));
+		}
+
+		@Override
+		public CompletableFuture<Optional<Long>> confirmLeadership() {
+			return CompletableFuture.completedFuture(Optional.of(1L));
+		}
+
+		@Override
+		public Optional<InstanceId> leader() {
+			return Optional.empty();
+		}
+
+		@Override
+		public boolean leads() {
+			return true;
+		}
+
+		@Override
+		public long term() {
+			return 1;
+		}
+
+		@Override
+		public void close() {
+			// Nothing is open.
+		}
+
+	}
+
+}
