Work out each step's rank once, and make one piece of each repeated one

Change, found on reading the whole diff: one grouping by rack, one count of a worker's places, one look-up of a worker's life, one way to name a gang's member, one set of timings for daemon and bench; steps are ranked once a pass instead of at each comparison; tests on draining that another already covers, a map that was only written, one that was only read, and an unused clock are gone. The bench never went on from a checkpoint; it says so now.

--- a/bench/src/main/java/io/verbenatrack/bench/fleet/FleetRun.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetRun.java
@@ -30,7 +30,8 @@
 import io.verbenatrack.model.ServiceId;
 
 /**
- * Plays a load on virtual workers and checks what must always hold.
+ * Plays a load on virtual workers and checks what must always hold. A run that starts
+ * again begins anew, also from a checkpoint.
  */
 public final class FleetRun {
 
@@ -60,8 +61,10 @@
 	private static final long REPORT_AFTER_END_MILLIS = 50;
 
 	/** As the daemon sets them. */
-	private static final FleetTimings TIMINGS = new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250),
-			Duration.ofMillis(1200), Duration.ofMillis(200), Duration.ofMillis(500), 3);
+	private static final FleetTimings TIMINGS = FleetTimings.withLease(Duration.ofSeconds(6));
+
+	/** How much longer a gang takes that is spread over racks and sensitive to them. */
+	private static final double SLOW_RACK = 3;
 
 	private final FleetLoad load;
 
@@ -75,8 +78,6 @@
 
 	private final Map<JobId, Long> completed = new HashMap<>();
 
-	private final Map<TaskId, Double> saved = new HashMap<>();
-
 	private final Map<GangRun, Long> gangs = new HashMap<>();
 
 	private final SplittableRandom random;
@@ -177,10 +178,9 @@
 		this.workers.stream()
 			.filter((other) -> other.runs().containsKey(task) && other != worker)
 			.forEach((other) -> this.violations.add("two runs of " + task));
-		double done = start.checkpoint().isEmpty() ? 0 : this.saved.getOrDefault(task, 0.0);
 		this.gangs.putIfAbsent(new GangRun(task.job(), start.run()), now);
 		return new VirtualRun(task, start.run(), step.room(), step.checkpoints(), step.gang(),
-				job.workMillis()[task.index()], done);
+				job.workMillis()[task.index()]);
 	}
 
 	private void work(long now) {
@@ -226,7 +226,7 @@
 		if (members == size) {
 			boolean spread = present.stream().map(VirtualWorker::rack).distinct().count() > 1;
 			boolean sensitive = this.state.step(run.task).orElseThrow().spec().rackSensitive();
-			run.distance = (spread && sensitive) ? TIMINGS.slowRack() : 1;
+			run.distance = (spread && sensitive) ? SLOW_RACK : 1;
 			this.gangs.put(gang, Long.MAX_VALUE / 2);
 			return true;
 		}
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualRun.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualRun.java
@@ -30,15 +30,13 @@
 	/** How much longer it takes where it runs. */
 	double distance = 1;
 
-	VirtualRun(TaskId task, int run, Room room, boolean checkpoints, boolean gang, double workMillis,
-			double doneMillis) {
+	VirtualRun(TaskId task, int run, Room room, boolean checkpoints, boolean gang, double workMillis) {
 		this.task = task;
 		this.run = run;
 		this.room = room;
 		this.checkpoints = checkpoints;
 		this.gang = gang;
 		this.workMillis = workMillis;
-		this.doneMillis = doneMillis;
 	}
 
 	void work(double millis) {
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualWorker.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualWorker.java
@@ -1,7 +1,6 @@
 package io.verbenatrack.bench.fleet;
 
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -137,8 +136,7 @@
 
 	void checkLease(long nowMillis) {
 		if (nowMillis > this.leaseEndMillis) {
-			Iterator<VirtualRun> left = List.copyOf(this.runs.values()).iterator();
-			left.forEachRemaining((run) -> end(run, RunEnd.LAPSED));
+			List.copyOf(this.runs.values()).forEach((run) -> end(run, RunEnd.LAPSED));
 		}
 	}
 
--- a/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import io.verbenatrack.control.ReplicaId;
 import io.verbenatrack.protocol.control.Membership;
@@ -85,31 +86,32 @@
 	}
 
 	private Optional<Membership> withoutLostVoter(ReplicaMember learner) {
-		Membership present = this.state.membership();
-		Membership.Builder next = Membership.newBuilder().addAllLearners(present.getLearnersList());
-		present.getVotersList()
-			.stream()
-			.filter((voter) -> !voter.getInstance().equals(learner.getInstance()))
-			.forEach(next::addVoters);
-		return (next.getVotersCount() < present.getVotersCount()) ? Optional.of(next.build()) : Optional.empty();
+		return without((voter) -> voter.getInstance().equals(learner.getInstance()));
 	}
 
-	// A newcomer stays a learner beside an odd number of voters: one more would not let
-	// more
-	// of them fail.
+	// A newcomer stays a learner beside an odd number of voters: with one more, no more
+	// of
+	// them may fail.
 	private Optional<Membership> promotion(ReplicaMember learner) {
 		int voters = this.state.membership().getVotersCount();
 		return (voters % 2 == 0 || voters < LEAST_VOTERS) ? Optional.of(promoted(learner)) : Optional.empty();
 	}
 
+	// One of them at a time, since a membership may follow another by one vote only.
 	private Optional<Membership> withoutSilentVoter() {
+		Optional<ReplicaMember> lost = this.state.membership()
+			.getVotersList()
+			.stream()
+			.filter(this::silent)
+			.findFirst();
+		return lost.flatMap((voter) -> without(voter::equals));
+	}
+
+	private Optional<Membership> without(Predicate<ReplicaMember> lost) {
 		Membership present = this.state.membership();
-		Optional<ReplicaMember> silent = present.getVotersList().stream().filter(this::silent).findFirst();
-		return silent.map((lost) -> {
-			Membership.Builder next = Membership.newBuilder().addAllLearners(present.getLearnersList());
-			present.getVotersList().stream().filter((voter) -> !voter.equals(lost)).forEach(next::addVoters);
-			return next.build();
-		});
+		Membership.Builder next = Membership.newBuilder().addAllLearners(present.getLearnersList());
+		present.getVotersList().stream().filter(lost.negate()).forEach(next::addVoters);
+		return (next.getVotersCount() < present.getVotersCount()) ? Optional.of(next.build()) : Optional.empty();
 	}
 
 	private boolean silent(ReplicaMember voter) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/model/StepSpec.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/model/StepSpec.java
@@ -28,4 +28,14 @@
 		after = List.copyOf(after);
 	}
 
+	/**
+	 * How many tasks of the step a worker can take.
+	 * @param free the room that is free there
+	 * @return the number of tasks, from 0
+	 */
+	public int placesIn(Room free) {
+		int places = this.room.timesIn(free);
+		return (this.mostOnOneWorker > 0) ? Math.min(this.mostOnOneWorker, places) : places;
+	}
+
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/model/TaskId.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/model/TaskId.java
@@ -12,4 +12,13 @@
  */
 public record TaskId(JobId job, int occurrence, int step, int index) {
 
+	/**
+	 * Another task of the same step.
+	 * @param member its index, from 0
+	 * @return its name
+	 */
+	public TaskId member(int member) {
+		return new TaskId(this.job, this.occurrence, this.step, member);
+	}
+
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
@@ -70,8 +70,7 @@
 	 * is out of date and gets no orders
 	 */
 	public Optional<List<FleetCommand>> heard(WorkerReport report, long nowNanos) {
-		Optional<KnownWorker> before = this.board.worker(report.life().worker())
-			.filter((worker) -> worker.life().equals(report.life()));
+		Optional<KnownWorker> before = this.board.worker(report.life());
 		boolean wasDraining = before.filter((worker) -> worker.report().draining()).isPresent();
 		Optional<KnownWorker> known = this.board.heard(report, nowNanos);
 		if (known.isPresent() && before.isEmpty()) {
@@ -100,18 +99,13 @@
 			if (worker.reportsRunning(task, run) || ended.contains(task)) {
 				worker.listed(task);
 			}
-			else if (worker.countUnlisted(task) >= UNLISTED_REPORTS && !wanted(worker, task)) {
+			else if (worker.countUnlisted(task) >= UNLISTED_REPORTS && !wanted(task)) {
 				commands.add(new FleetCommand.EndRun(task, run, report.life(), RunEnd.LOST, ""));
 			}
 		});
 		return commands;
 	}
 
-	// Whether a run that the worker does not list yet should still start there.
-	private boolean wanted(KnownWorker worker, TaskId task) {
-		return !worker.report().draining() && wantedAtAll(task);
-	}
-
 	/**
 	 * Takes note that a worker leaves.
 	 * @param worker the worker
@@ -129,8 +123,7 @@
 		List<FleetCommand> commands = new ArrayList<>();
 		for (WorkerLife life : this.state.livesInUse()) {
 			if (this.board.dead(life, nowNanos)) {
-				Optional<KnownWorker> known = this.board.worker(life.worker())
-					.filter((worker) -> worker.life().equals(life));
+				Optional<KnownWorker> known = this.board.worker(life);
 				this.state.runsOn(life)
 					.forEach((task, run) -> commands.add(new FleetCommand.EndRun(task, run, life, RunEnd.LOST,
 							known.map((worker) -> worker.checkpoint(task, run)).orElse(""))));
@@ -193,7 +186,7 @@
 		for (TaskId task : tasks) {
 			this.state.step(task).filter((step) -> step.spec().gang()).ifPresent((step) -> {
 				for (int index = 0; index < step.tasks().size(); index++) {
-					all.add(new TaskId(task.job(), task.occurrence(), task.step(), index));
+					all.add(task.member(index));
 				}
 			});
 		}
@@ -212,14 +205,14 @@
 		if (worker == null) {
 			return new WorkerOrders(0, 0, this.term, List.of(), List.of(), this.timings.report().toMillis());
 		}
-		this.board.extendLease(worker, worker.heardNanos());
+		this.board.extendLease(worker);
 		long takenNote = report.ended().stream().mapToLong(ReportedEnd::number).max().orElse(0);
 		List<WorkerOrders.Start> starts = new ArrayList<>();
 		List<WorkerOrders.Stop> stops = new ArrayList<>();
 		Map<TaskId, Integer> known = this.state.runsOn(report.life());
 		known.forEach((task, run) -> {
 			boolean listed = worker.reportsRunning(task, run);
-			if (!wantedAtAll(task) || (!listed && report.draining())) {
+			if (!wanted(task)) {
 				stops.add(new WorkerOrders.Stop(task, run));
 			}
 			else if (!listed) {
@@ -240,24 +233,21 @@
 		return this.state.step(task).filter((step) -> step.spec().gang() && step.done()).isPresent();
 	}
 
-	// A gang whose run has lost a member stops as a whole: the others would only wait for
-	// it.
-	private boolean wantedAtAll(TaskId task) {
+	// A gang whose run has lost a member stops as a whole: the others would only wait.
+	private boolean wanted(TaskId task) {
 		return !this.preempted.contains(task)
 				&& this.state.job(task.job()).filter((job) -> !job.phase().ended()).isPresent()
 				&& this.state.step(task).filter(StepState::broken).isEmpty() && !leavingMember(task);
 	}
 
-	// Whether the task, or a member of its gang, is on a worker that leaves before it
-	// ends.
+	// Whether the task, or a member of its gang, outlives its worker.
 	private boolean leavingMember(TaskId task) {
 		Optional<StepState> step = this.state.step(task);
 		if (step.isEmpty() || !step.get().spec().gang()) {
 			return step.isPresent() && outlivesWorker(task, step.get());
 		}
 		for (int index = 0; index < step.get().tasks().size(); index++) {
-			TaskId member = new TaskId(task.job(), task.occurrence(), task.step(), index);
-			if (outlivesWorker(member, step.get())) {
+			if (outlivesWorker(task.member(index), step.get())) {
 				return true;
 			}
 		}
@@ -267,7 +257,7 @@
 	private boolean outlivesWorker(TaskId task, StepState step) {
 		TaskState state = step.tasks().get(task.index());
 		return state.runningOn()
-			.flatMap((life) -> this.board.worker(life.worker()).filter((worker) -> worker.life().equals(life)))
+			.flatMap(this.board::worker)
 			.filter((worker) -> worker.report().draining())
 			.filter((worker) -> !worker.reportsRunning(task, state.run())
 					|| leftMillis(worker, task, step) > worker.report().stayMillis())
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
@@ -11,14 +11,34 @@
  * @param workerSilence the longest silence after which a worker gets new work
  * @param report when a worker with free room reports again
  * @param preemptAfter how long a guaranteed job waits before it preempts others
- * @param slowRack how much longer a task takes away from its rack
  */
 public record FleetTimings(Duration lease, Duration leaseMargin, Duration workerSilence, Duration report,
-		Duration preemptAfter, double slowRack) {
+		Duration preemptAfter) {
 
 	/** The longest drift between two steady clocks. */
 	private static final double CLOCK_DRIFT = 0.03;
 
+	/** The way of an answer, and the pause before a worker looks at its leases. */
+	private static final Duration LEASE_MARGIN = Duration.ofMillis(250);
+
+	/** Several times the pause between two reports. */
+	private static final Duration WORKER_SILENCE = Duration.ofMillis(1200);
+
+	/** Short against a task's run time; 33 workers then send 165 reports a second. */
+	private static final Duration REPORT = Duration.ofMillis(200);
+
+	/** Half of what the objective of a guaranteed job leaves beside its work. */
+	private static final Duration PREEMPT_AFTER = Duration.ofMillis(500);
+
+	/**
+	 * The usual timings.
+	 * @param lease how long a worker may run on after a heartbeat that was answered
+	 * @return the timings
+	 */
+	public static FleetTimings withLease(Duration lease) {
+		return new FleetTimings(lease, LEASE_MARGIN, WORKER_SILENCE, REPORT, PREEMPT_AFTER);
+	}
+
 	/**
 	 * The longest that a worker may take a lease to last, on our clock.
 	 * @return nanoseconds
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
@@ -3,14 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
-
-import io.verbenatrack.fleet.model.Room;
 
 /**
  * Chooses the workers of a whole gang, or none.
@@ -35,10 +31,11 @@
 	}
 
 	Optional<Map<Integer, Host>> place(PendingStep step, boolean spread) {
+		List<Host> suitable = suitable(step);
 		if (!step.spec().rackSensitive()) {
-			return pack(step, suitable(step, this.hosts));
+			return pack(step, suitable);
 		}
-		List<List<Host>> racks = racks(step);
+		Collection<List<Host>> racks = Host.byRack(suitable);
 		Optional<Map<Integer, Host>> best = Optional.empty();
 		int leastLeft = Integer.MAX_VALUE;
 		for (List<Host> rack : racks) {
@@ -51,27 +48,16 @@
 			}
 		}
 		boolean everFits = racks.stream().anyMatch((rack) -> everFits(step, rack));
-		return (best.isPresent() || (everFits && !spread)) ? best : pack(step, suitable(step, this.hosts));
-	}
-
-	private List<List<Host>> racks(PendingStep step) {
-		Map<String, List<Host>> racks = new TreeMap<>();
-		for (Host host : suitable(step, this.hosts)) {
-			racks.computeIfAbsent(host.rack(), (rack) -> new ArrayList<>()).add(host);
-		}
-		return List.copyOf(racks.values());
+		return (best.isPresent() || (everFits && !spread)) ? best : pack(step, suitable);
 	}
 
 	private static boolean everFits(PendingStep step, List<Host> rack) {
-		int most = (step.spec().mostOnOneWorker() > 0) ? step.spec().mostOnOneWorker() : Integer.MAX_VALUE;
-		long places = rack.stream()
-			.mapToLong((host) -> Math.min(most, step.spec().room().timesIn(host.worker().report().room())))
-			.sum();
+		long places = rack.stream().mapToLong((host) -> step.spec().placesIn(host.worker().report().room())).sum();
 		return places >= step.waiting().size();
 	}
 
-	private List<Host> suitable(PendingStep step, Collection<Host> hosts) {
-		return hosts.stream()
+	private List<Host> suitable(PendingStep step) {
+		return this.hosts.stream()
 			.filter((host) -> host.suits(step.spec()))
 			.filter((host) -> !host.reserved() || step.queue().priority() == 0)
 			.filter((host) -> this.reservations.admits(host, step, this.nowMillis))
@@ -83,19 +69,15 @@
 
 	// Fills the fullest workers first, so that whole workers stay free.
 	private static Optional<Map<Integer, Host>> pack(PendingStep step, List<Host> hosts) {
-		Room need = step.spec().room();
-		int most = (step.spec().mostOnOneWorker() > 0) ? step.spec().mostOnOneWorker() : Integer.MAX_VALUE;
 		List<Host> order = new ArrayList<>(hosts);
 		order.sort(Comparator.comparingInt((Host host) -> host.free().accelerators())
 			.thenComparingLong((host) -> host.free().cpuMillis()));
 		Map<Integer, Host> placed = new LinkedHashMap<>();
-		Map<Host, Integer> used = new HashMap<>();
 		int next = 0;
 		for (Host host : order) {
-			int places = Math.min(most, need.timesIn(host.free()));
+			int places = step.spec().placesIn(host.free());
 			while (places > 0 && next < step.waiting().size()) {
 				placed.put(step.waiting().get(next++), host);
-				used.merge(host, 1, Integer::sum);
 				places--;
 			}
 		}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Host.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Host.java
@@ -1,7 +1,10 @@
 package io.verbenatrack.fleet.policy;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 import io.verbenatrack.fleet.model.Room;
 import io.verbenatrack.fleet.model.StepSpec;
@@ -63,6 +66,12 @@
 		return this.reserved;
 	}
 
+	static Collection<List<Host>> byRack(Collection<Host> hosts) {
+		Map<String, List<Host>> racks = new TreeMap<>();
+		hosts.forEach((host) -> racks.computeIfAbsent(host.rack(), (rack) -> new ArrayList<>()).add(host));
+		return racks.values();
+	}
+
 	boolean suits(StepSpec step) {
 		return step.label().isEmpty() || this.worker.report().labels().contains(step.label().get());
 	}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingSteps.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingSteps.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.IdentityHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
 
@@ -33,13 +31,11 @@
 			Optional<Queue> queue = state.queueOf(job);
 			queue.ifPresent((known) -> collect(job, known, nowMillis, pending));
 		}
-		Map<PendingStep, Outlook> outlooks = new IdentityHashMap<>();
-		pending.forEach((step) -> outlooks.put(step, Outlook.of(step, nowMillis)));
-		pending.sort(Comparator.comparing((PendingStep step) -> !guaranteed.test(step))
-			.thenComparing(outlooks::get)
-			.thenComparingInt((step) -> step.queue().priority())
-			.thenComparingDouble(PendingStep::work));
-		return pending;
+		return pending.stream()
+			.map((step) -> new Ranked(step, guaranteed.test(step), Outlook.of(step, nowMillis), step.work()))
+			.sorted(Ranked.ORDER)
+			.map(Ranked::step)
+			.toList();
 	}
 
 	private static void collect(JobState job, Queue queue, long nowMillis, List<PendingStep> pending) {
@@ -71,4 +67,14 @@
 		return incomplete ? List.of() : waiting;
 	}
 
+	// What decides the order, worked out once for each step.
+	private record Ranked(PendingStep step, boolean guaranteed, Outlook outlook, double work) {
+
+		static final Comparator<Ranked> ORDER = Comparator.comparing((Ranked ranked) -> !ranked.guaranteed())
+			.thenComparing(Ranked::outlook)
+			.thenComparingInt((ranked) -> ranked.step().queue().priority())
+			.thenComparingDouble(Ranked::work);
+
+	}
+
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Preemption.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Preemption.java
@@ -4,11 +4,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 
 import io.verbenatrack.fleet.model.Room;
+import io.verbenatrack.fleet.model.StepSpec;
 import io.verbenatrack.fleet.model.TaskId;
 
 /**
@@ -33,9 +32,7 @@
 			.filter((host) -> host.suits(step.spec()) && !host.reserved())
 			.toList();
 		if (step.spec().gang() && step.spec().rackSensitive()) {
-			Map<String, List<Host>> racks = new TreeMap<>();
-			suitable.forEach((host) -> racks.computeIfAbsent(host.rack(), (rack) -> new ArrayList<>()).add(host));
-			Optional<Plan> best = racks.values()
+			Optional<Plan> best = Host.byRack(suitable)
 				.stream()
 				.map((rack) -> clear(step, rack))
 				.flatMap(Optional::stream)
@@ -48,39 +45,32 @@
 	}
 
 	private static Optional<Plan> clear(PendingStep step, List<Host> hosts) {
-		int missing = step.waiting().size();
-		Room need = step.spec().room();
-		int most = (step.spec().mostOnOneWorker() > 0) ? step.spec().mostOnOneWorker() : Integer.MAX_VALUE;
-		Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), 0);
 		List<Offer> offers = new ArrayList<>();
-		for (Host host : hosts) {
-			offers.addAll(offers(host, need, most));
-		}
+		hosts.forEach((host) -> offers.addAll(offers(host, step.spec())));
 		offers.sort(Comparator.comparingDouble(Offer::lossPerPlace));
+		int missing = step.waiting().size();
+		double loss = 0;
+		List<TaskId> stops = new ArrayList<>();
 		List<Host> used = new ArrayList<>();
 		for (Offer offer : offers) {
-			if (missing <= 0) {
-				break;
-			}
-			if (!used.contains(offer.host())) {
+			if (missing > 0 && !used.contains(offer.host())) {
 				used.add(offer.host());
-				plan.hosts().add(offer.host());
-				plan.stops().addAll(offer.stops());
-				plan = new Plan(plan.stops(), plan.hosts(), plan.loss() + offer.loss());
+				stops.addAll(offer.stops());
+				loss += offer.loss();
 				missing -= offer.places();
 			}
 		}
-		return (missing <= 0) ? Optional.of(plan) : Optional.empty();
+		return (missing <= 0) ? Optional.of(new Plan(stops, used, loss)) : Optional.empty();
 	}
 
 	// What a worker offers without a stop, and after stopping more and more of its
 	// cheapest occupants.
-	private static List<Offer> offers(Host host, Room need, int most) {
+	private static List<Offer> offers(Host host, StepSpec step) {
 		List<Offer> offers = new ArrayList<>();
 		Room room = host.free();
 		double loss = 0;
 		List<TaskId> stops = new ArrayList<>();
-		int places = Math.min(most, need.timesIn(room));
+		int places = step.placesIn(room);
 		if (places > 0) {
 			offers.add(new Offer(host, places, 0, List.of()));
 		}
@@ -93,7 +83,7 @@
 			room = room.plus(occupant.room());
 			loss += occupant.lossMillis();
 			stops.add(occupant.task());
-			int more = Math.min(most, need.timesIn(room));
+			int more = step.placesIn(room);
 			if (more > places) {
 				places = more;
 				offers.add(new Offer(host, places, loss, List.copyOf(stops)));
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 
 import io.verbenatrack.fleet.model.Room;
 
@@ -46,12 +45,8 @@
 		List<Host> suitable = candidates.stream()
 			.filter((host) -> host.suits(step.spec()) && !this.freeAtMillis.containsKey(host))
 			.toList();
-		Map<String, List<Host>> racks = new TreeMap<>();
-		suitable.forEach((host) -> racks
-			.computeIfAbsent(step.spec().rackSensitive() ? host.rack() : "", (rack) -> new ArrayList<>())
-			.add(host));
-		return racks.values()
-			.stream()
+		Collection<List<Host>> together = step.spec().rackSensitive() ? Host.byRack(suitable) : List.of(suitable);
+		return together.stream()
 			.map((hosts) -> window(step, hosts, nowMillis))
 			.flatMap(Optional::stream)
 			.min(Comparator.comparingLong(Window::startMillis));
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerBoard.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerBoard.java
@@ -65,12 +65,11 @@
 	}
 
 	/**
-	 * Extends a worker's lease.
+	 * Extends a worker's lease by answering the heartbeat heard last.
 	 * @param worker the worker
-	 * @param heardNanos when the heartbeat arrived whose answer extends it
 	 */
-	public void extendLease(KnownWorker worker, long heardNanos) {
-		worker.leaseUntil(heardNanos + this.leaseNanos);
+	public void extendLease(KnownWorker worker) {
+		worker.leaseUntil(worker.heardNanos() + this.leaseNanos);
 	}
 
 	/**
@@ -114,6 +113,15 @@
 		return Optional.ofNullable(this.workers.get(worker));
 	}
 
+	/**
+	 * A life of a worker.
+	 * @param life the life
+	 * @return the worker, if that is the life that was heard last
+	 */
+	public Optional<KnownWorker> worker(WorkerLife life) {
+		return worker(life.worker()).filter((known) -> known.life().equals(life));
+	}
+
 	/**
 	 * The workers heard.
 	 * @return the workers
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -117,7 +117,7 @@
 
 	private void dropRuns(TaskId member, StepState step) {
 		for (int index = 0; index < step.tasks().size(); index++) {
-			TaskId task = new TaskId(member.job(), member.occurrence(), member.step(), index);
+			TaskId task = member.member(index);
 			step.tasks().get(index).runningOn().ifPresent((life) -> dropRun(task, life));
 		}
 	}
@@ -195,14 +195,6 @@
 		return Optional.ofNullable(this.jobs.get(job));
 	}
 
-	/**
-	 * All jobs in the order of their acceptance.
-	 * @return the jobs
-	 */
-	public Collection<JobState> jobs() {
-		return this.jobs.values();
-	}
-
 	/**
 	 * The jobs that have not ended, in the order of their acceptance.
 	 * @return the jobs
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/StepState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/StepState.java
@@ -60,14 +60,6 @@
 		return this.tasks.stream().allMatch(TaskState::done);
 	}
 
-	/**
-	 * Whether any task was ever started.
-	 * @return whether the step has begun
-	 */
-	public boolean begun() {
-		return this.tasks.stream().anyMatch((task) -> task.run() > 0);
-	}
-
 	/**
 	 * Whether it is a gang of which some members run and others wait for a start.
 	 * @return whether its present run cannot succeed any more
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
@@ -28,8 +28,7 @@
  */
 public class FleetLeaderTests {
 
-	private static final FleetTimings TIMINGS = new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250),
-			Duration.ofMillis(1200), Duration.ofMillis(200), Duration.ofMillis(500), 3);
+	private static final FleetTimings TIMINGS = FleetTimings.withLease(Duration.ofSeconds(6));
 
 	private static final WorkerLife ONE = Fixtures.life(1);
 
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecision.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecision.java
@@ -1,26 +1,25 @@
 package io.verbenatrack.fleetd;
 
 import java.util.List;
-import java.util.function.Function;
+import java.util.function.Supplier;
 
 import io.verbenatrack.fleet.call.FleetReply;
 import io.verbenatrack.fleet.state.FleetCommand;
-import io.verbenatrack.fleet.state.FleetState;
 
 /**
  * What the leader decided on a call.
  *
  * @param commands what has to be committed before the reply is true
- * @param reply gives the reply, on the state after that
+ * @param reply gives the reply, once that is committed
  */
-record CallDecision(List<FleetCommand> commands, Function<FleetState, FleetReply> reply) {
+record CallDecision(List<FleetCommand> commands, Supplier<FleetReply> reply) {
 
 	static CallDecision of(FleetReply reply) {
-		return new CallDecision(List.of(), (state) -> reply);
+		return new CallDecision(List.of(), () -> reply);
 	}
 
 	static CallDecision after(FleetCommand command, FleetReply reply) {
-		return new CallDecision(List.of(command), (state) -> reply);
+		return new CallDecision(List.of(command), () -> reply);
 	}
 
 }
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallRules.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallRules.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.regex.Pattern;
 
 import io.verbenatrack.fleet.call.FleetCall;
@@ -39,14 +40,11 @@
 
 	private final FleetState state;
 
-	private final long nowNanos;
-
 	private final long nowMillis;
 
-	CallRules(FleetLeader leader, FleetState state, long nowNanos, long nowMillis) {
+	CallRules(FleetLeader leader, FleetState state, long nowMillis) {
 		this.leader = leader;
 		this.state = state;
-		this.nowNanos = nowNanos;
 		this.nowMillis = nowMillis;
 	}
 
@@ -67,12 +65,10 @@
 		};
 	}
 
-	private CallDecision addressed(FleetCall.Origin origin, java.util.function.Function<Place, CallDecision> action) {
+	private CallDecision addressed(FleetCall.Origin origin, Function<Place, CallDecision> action) {
 		Optional<FleetConfiguration> configuration = this.state.configuration();
 		if (configuration.isEmpty()) {
-			return CallDecision
-				.of(new FleetReply.Refused(new Problem(ProblemKind.UNAVAILABLE, "There is no configuration yet.",
-						"Come back once an operator has sent one."), UNCONFIGURED_RETRY_MILLIS));
+			return CallDecision.of(unconfigured("Come back once an operator has sent one."));
 		}
 		Optional<Queue> queue = configuration.get().route(origin.host(), origin.path());
 		if (queue.isEmpty()) {
@@ -131,7 +127,7 @@
 
 	private CallDecision heartbeat(WorkerReport report, long arrivedNanos) {
 		List<FleetCommand> commands = this.leader.heard(report, arrivedNanos).orElse(List.of());
-		return new CallDecision(commands, (after) -> new FleetReply.Orders(this.leader.orders(report)));
+		return new CallDecision(commands, () -> new FleetReply.Orders(this.leader.orders(report)));
 	}
 
 	private CallDecision change(FleetCall.ChangeConfiguration change) {
@@ -149,9 +145,12 @@
 	private FleetReply configuration() {
 		return this.state.configuration()
 			.<FleetReply>map((known) -> new FleetReply.Configuration(this.state.document()))
-			.orElseGet(() -> new FleetReply.Refused(
-					new Problem(ProblemKind.UNAVAILABLE, "There is no configuration yet.", "Send one."),
-					UNCONFIGURED_RETRY_MILLIS));
+			.orElseGet(() -> unconfigured("Send one."));
+	}
+
+	private static FleetReply unconfigured(String remedy) {
+		return new FleetReply.Refused(new Problem(ProblemKind.UNAVAILABLE, "There is no configuration yet.", remedy),
+				UNCONFIGURED_RETRY_MILLIS);
 	}
 
 	/**
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -137,7 +137,7 @@
 		}
 	}
 
-	private void turn(List<WaitingCall> taken) throws InterruptedException {
+	private void turn(List<WaitingCall> taken) {
 		if (!this.log.leads()) {
 			endTerm();
 			taken.forEach((call) -> call.reply().complete(new FleetReply.NotLeading(this.log.leader())));
@@ -175,7 +175,7 @@
 
 	private List<FleetCommand> decideCalls(LeaderTerm present, List<WaitingCall> taken, List<CallDecision> decisions) {
 		return this.machine.read((state) -> {
-			CallRules rules = new CallRules(present.leader, state, this.clock.nanoTime(), this.wallClock.millis());
+			CallRules rules = new CallRules(present.leader, state, this.wallClock.millis());
 			List<FleetCommand> commands = new ArrayList<>();
 			for (WaitingCall call : taken) {
 				CallDecision decision = rules.decide(call.call(), call.arrivedNanos());
@@ -187,12 +187,12 @@
 		});
 	}
 
-	private Outcome placed(LeaderTerm present) throws InterruptedException {
+	private Outcome placed(LeaderTerm present) {
 		return commit(present,
 				this.machine.read((state) -> present.leader.place(this.clock.nanoTime(), this.wallClock.millis())));
 	}
 
-	private Outcome commit(LeaderTerm present, List<FleetCommand> commands) throws InterruptedException {
+	private Outcome commit(LeaderTerm present, List<FleetCommand> commands) {
 		if (commands.isEmpty()) {
 			return Outcome.COMMITTED;
 		}
@@ -223,7 +223,7 @@
 			boolean certain = current && this.log.leads();
 			FleetReply reply;
 			if (certain) {
-				reply = this.machine.read((state) -> decision.reply().apply(state));
+				reply = this.machine.read((state) -> decision.reply().get());
 			}
 			else if (changes == Outcome.NOT_DONE || decision.commands().isEmpty()) {
 				reply = new FleetReply.NotLeading(this.log.leader());
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
@@ -64,7 +64,7 @@
 		this.log = new FailingLog();
 		this.loop = new FleetLoop(this.log, this.machine, this.codec,
 				new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250), Duration.ofSeconds(60),
-						Duration.ofMillis(200), Duration.ofMillis(500), 3),
+						Duration.ofMillis(200), Duration.ofMillis(500)),
 				MonotonicClock.system(), InstantSource.system(), EventLog.none());
 		this.loop.start();
 		Queue queue = new Queue("q", "host", "/q/", SERVICE, 0, 1, 1, 1000, 3000, true);
