--- a/cli/src/main/java/io/verbenatrack/cli/ExplainCommand.java
+++ b/cli/src/main/java/io/verbenatrack/cli/ExplainCommand.java
@@ -1,5 +1,8 @@
 package io.verbenatrack.cli;
 
+import java.io.IOException;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
 import java.util.List;
 
 import org.apache.commons.cli.CommandLine;
@@ -41,10 +44,19 @@
 	public ExitCode run(CommandLine line, Console console) throws UsageException {
 		LogStory story = new LogStory(line.getOptionValue(ID));
 		for (String file : line.getOptionValue(LOGS).split(",")) {
-			story.read(file);
+			read(story, file);
 		}
 		story.lines().forEach(console.out()::println);
 		return story.found() ? ExitCode.DONE : ExitCode.REFUSED;
 	}
 
+	private static void read(LogStory story, String file) throws UsageException {
+		try {
+			story.read(Path.of(file));
+		}
+		catch (IOException | InvalidPathException ex) {
+			throw new UsageException("The log '" + file + "' cannot be read.", "Name a file that is there.");
+		}
+	}
+
 }
--- a/cli/src/main/java/io/verbenatrack/cli/explain/LogStory.java
+++ b/cli/src/main/java/io/verbenatrack/cli/explain/LogStory.java
@@ -2,7 +2,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -54,12 +53,11 @@
 	/**
 	 * Takes the lines of a file; what is no event is passed over.
 	 * @param file the log of one instance
-	 * @throws UncheckedIOException when the file cannot be read
+	 * @throws IOException when the file cannot be read
 	 */
-	public void read(String file) {
-		Path path = Path.of(file);
-		String source = path.getFileName().toString();
-		try (BufferedReader reader = Files.newBufferedReader(path)) {
+	public void read(Path file) throws IOException {
+		String source = file.getFileName().toString();
+		try (BufferedReader reader = Files.newBufferedReader(file)) {
 			for (String text = reader.readLine(); text != null; text = reader.readLine()) {
 				int start = text.indexOf('{');
 				if (start >= 0) {
@@ -67,9 +65,6 @@
 				}
 			}
 		}
-		catch (IOException ex) {
-			throw new UncheckedIOException("The log " + file + " cannot be read. Name a file that is there.", ex);
-		}
 	}
 
 	private Optional<Line> parse(String source, String text) {
@@ -110,12 +105,12 @@
 		if (!found()) {
 			return List.of("No log names " + this.id + ". Give the logs of every instance for the time of the call.");
 		}
-		List<Line> story = new ArrayList<>(this.own);
 		this.own.sort(Line.IN_ORDER);
 		Instant first = this.own.getFirst().time().minus(GAP);
 		Instant last = this.own.getLast().time().plus(GAP);
 		Set<String> workers = new HashSet<>();
 		this.own.forEach((line) -> workers.add(line.fields().path("worker").asText()));
+		List<Line> story = new ArrayList<>(this.own);
 		this.others.stream()
 			.filter((line) -> !line.time().isBefore(first) && !line.time().isAfter(last))
 			.filter((line) -> FOR_ALL.contains(line.name()) || concernsWorker(line, workers))
--- a/cli/src/test/java/io/verbenatrack/cli/CommandLineToolTests.java
+++ b/cli/src/test/java/io/verbenatrack/cli/CommandLineToolTests.java
@@ -105,4 +105,11 @@
 			.forEach((code) -> assertThat(page).contains("| " + code.status() + " | " + code.name() + " |"));
 	}
 
+	@Test
+	public void logThatIsNotThereIsAUsageError() {
+		CommandLineRun run = CommandLineRun.of("explain", "--id", "job-1", "--logs", "no-such-file.log");
+		assertThat(run.code()).isEqualTo(ExitCode.USAGE);
+		assertThat(run.err()).contains("no-such-file.log");
+	}
+
 }
--- a/cli/src/test/java/io/verbenatrack/cli/explain/LogStoryTests.java
+++ b/cli/src/test/java/io/verbenatrack/cli/explain/LogStoryTests.java
@@ -25,7 +25,7 @@
 		for (String log : logs) {
 			Path file = Files.createTempFile("log", ".log");
 			Files.writeString(file, log);
-			story.read(file.toString());
+			story.read(file);
 			Files.delete(file);
 		}
 		return story.lines();
