--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetBench.java
@@ -0,0 +1,55 @@
+package io.verbenatrack.bench.fleet;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Plays loads on virtual workers and prints how the jobs fared.
+ */
+public final class FleetBench {
+
+	private FleetBench() {
+	}
+
+	/**
+	 * Plays loads.
+	 * @param loads the loads
+	 * @param seed the first seed
+	 * @param seeds how many seeds, one after the other
+	 * @param out takes a line for each load
+	 * @return whether everything held that must hold
+	 */
+	public static boolean run(List<FleetLoad> loads, long seed, int seeds, PrintStream out) {
+		boolean held = true;
+		double total = 0;
+		for (FleetLoad load : loads) {
+			double earned = 0;
+			double served = 0;
+			for (long each = seed; each < seed + seeds; each++) {
+				FleetFigures figures = FleetRun.play(load, each);
+				earned += figures.earnedShare() / seeds;
+				served += figures.servedShare() / seeds;
+				held &= figures.violations().isEmpty();
+				figures.violations().forEach((line) -> out.println("VIOLATION " + load.name() + ": " + line));
+				if (seeds == 1) {
+					out.println(load.name() + " " + figures);
+				}
+			}
+			total += earned;
+			out.printf(Locale.ROOT, "%-16s earned %.3f served %.3f%n", load.name(), earned, served);
+		}
+		out.printf(Locale.ROOT, "mean earned %.3f%n", total / loads.size());
+		return held;
+	}
+
+	/**
+	 * Plays all loads, or the one named first, with a first seed and a number of seeds.
+	 * @param args the load or "all", the seed and the number of seeds
+	 */
+	public static void main(String[] args) {
+		List<FleetLoad> loads = args[0].equals("all") ? FleetLoad.all() : List.of(FleetLoad.of(args[0]));
+		System.exit(run(loads, Long.parseLong(args[1]), Integer.parseInt(args[2]), System.out) ? 0 : 1);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetLoad.java
@@ -0,0 +1,113 @@
+package io.verbenatrack.bench.fleet;
+
+import java.util.List;
+
+/**
+ * A pattern of load: classes of jobs, bursts and trouble with workers.
+ *
+ * @param name the name by which it is asked for
+ * @param seconds how long jobs arrive
+ * @param factor how much more arrives than on an ordinary day
+ * @param classes the classes of jobs
+ * @param bursts when more of a class arrives
+ * @param troubles what goes wrong with workers
+ * @param accountGuarantee the accelerators guaranteed to each client account
+ */
+public record FleetLoad(String name, int seconds, double factor, List<JobClass> classes, List<Burst> bursts,
+		List<Trouble> troubles, int accountGuarantee) {
+
+	private static final int[] GANG_ACCELERATORS = { 1, 2, 4, 8, 8 };
+
+	private static final int[] ONE_ACCELERATOR = { 1 };
+
+	/**
+	 * Urgent small gangs, wide long gangs and wide jobs of small tasks share the workers.
+	 */
+	private static final List<JobClass> MIXED = List.of(
+			new JobClass("urgent", 0, 1.34, 2500, 0.5, 3.4, 21, 7500, 31_000, GANG_ACCELERATORS, true, 0.8, 0, 1.5, 800,
+					4, 0.8),
+			new JobClass("nightly", 1, 0.5, 8500, 0.3, 5, 8, 26_000, 140_000, GANG_ACCELERATORS, true, 0.6, 0.45, 3,
+					1500, 3, 0.9),
+			new JobClass("batch", 2, 0.518, 6100, 0.3, 16, 94, 5600, 29_000, ONE_ACCELERATOR, false, 0, 0.45, 3, 4000,
+					1, 0.3));
+
+	/**
+	 * The pattern of a name.
+	 * @param name the name
+	 * @return the pattern
+	 * @throws IllegalArgumentException when there is none; the message lists the names
+	 */
+	public static FleetLoad of(String name) {
+		return all().stream()
+			.filter((load) -> load.name().equals(name))
+			.findFirst()
+			.orElseThrow(() -> new IllegalArgumentException("There is no load '" + name + "'. Use one of "
+					+ all().stream().map(FleetLoad::name).toList() + "."));
+	}
+
+	/**
+	 * All patterns.
+	 * @return the patterns
+	 */
+	public static List<FleetLoad> all() {
+		return List.of(new FleetLoad("calm", 40, 0.65, MIXED, List.of(), List.of(), 40),
+				new FleetLoad("urgent-burst", 40, 1.1, MIXED,
+						List.of(new Burst("urgent", 10, 6, 2), new Burst("nightly", 11.5, 3, 2.3)), List.of(), 40),
+				new FleetLoad("batch-wave", 40, 1, MIXED, List.of(new Burst("batch", 8, 4, 2.6)), List.of(), 40),
+				new FleetLoad("failing-workers", 40, 0.9, MIXED, List.of(),
+						List.of(new Trouble(Trouble.Kind.FAIL, 0.1, 8, 6)), 40),
+				new FleetLoad("slow-workers", 40, 0.9, MIXED, List.of(),
+						List.of(new Trouble(Trouble.Kind.SLOW, 0.17, 8, 7)), 40),
+				new FleetLoad("stuck-workers", 40, 0.9, MIXED, List.of(),
+						List.of(new Trouble(Trouble.Kind.STUCK, 0.12, 8, 5)), 40),
+				new FleetLoad("lost-workers", 40, 0.9, MIXED, List.of(),
+						List.of(new Trouble(Trouble.Kind.SILENT, 0.17, 8, 5)), 40),
+				new FleetLoad("leaving-workers", 40, 1, MIXED, List.of(),
+						List.of(new Trouble(Trouble.Kind.LEAVE, 0.1, 10, 30)), 40));
+	}
+
+	/**
+	 * More of one class for a while.
+	 *
+	 * @param jobClass the class
+	 * @param atSecond when it begins
+	 * @param forSeconds how long it lasts
+	 * @param factor how much more arrives
+	 */
+	public record Burst(String jobClass, double atSecond, double forSeconds, double factor) {
+
+	}
+
+	/**
+	 * Something goes wrong with workers.
+	 *
+	 * @param kind what
+	 * @param share the part of the workers
+	 * @param atSecond when it begins
+	 * @param forSeconds how long it lasts
+	 */
+	public record Trouble(Kind kind, double share, double atSecond, double forSeconds) {
+
+		/** What goes wrong. */
+		public enum Kind {
+
+			/** Workers fail all that they start. */
+			FAIL,
+
+			/** Tasks take several times as long. */
+			SLOW,
+
+			/** Tasks stand still. */
+			STUCK,
+
+			/** Workers crash and stay silent. */
+			SILENT,
+
+			/** Workers drain and leave. */
+			LEAVE
+
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetRun.java
@@ -0,0 +1,298 @@
+package io.verbenatrack.bench.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import io.verbenatrack.fleet.model.CallLimits;
+import io.verbenatrack.fleet.model.FleetAccount;
+import io.verbenatrack.fleet.model.FleetConfiguration;
+import io.verbenatrack.fleet.model.JobPhase;
+import io.verbenatrack.fleet.model.Queue;
+import io.verbenatrack.fleet.model.RunEnd;
+import io.verbenatrack.fleet.model.StepSpec;
+import io.verbenatrack.fleet.model.TaskId;
+import io.verbenatrack.fleet.model.WorkerOrders;
+import io.verbenatrack.fleet.model.WorkerPool;
+import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.policy.FleetLeader;
+import io.verbenatrack.fleet.policy.FleetTimings;
+import io.verbenatrack.fleet.state.FleetBatch;
+import io.verbenatrack.fleet.state.FleetCommand;
+import io.verbenatrack.fleet.state.FleetState;
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.ServiceId;
+
+/**
+ * Plays a load on virtual workers and checks what must always hold.
+ */
+public final class FleetRun {
+
+	/** The step of the virtual clock. */
+	private static final long TICK_MILLIS = 25;
+
+	/** How long jobs may go on after the last has arrived. */
+	private static final long DRAIN_MILLIS = 60_000;
+
+	private static final int WORKERS = 33;
+
+	/** The workers of an availability zone: a full rack and the beginning of another. */
+	private static final int ZONE = 11;
+
+	private static final int RACK = 8;
+
+	private static final double[] ZONE_SLOWNESS = { 1, 1, 1.3 };
+
+	private static final int ACCOUNTS = 4;
+
+	private static final int ATTEMPTS = 3;
+
+	private static final long NANOS = 1_000_000;
+
+	private static final long GANG_WAIT_MILLIS = 3000;
+
+	private static final long REPORT_AFTER_END_MILLIS = 50;
+
+	/** As the daemon sets them. */
+	private static final FleetTimings TIMINGS = new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250),
+			Duration.ofMillis(1200), Duration.ofMillis(200), Duration.ofMillis(500), 3);
+
+	private final FleetLoad load;
+
+	private final FleetState state = new FleetState();
+
+	private final FleetLeader leader = new FleetLeader(this.state, TIMINGS, 1, 0);
+
+	private final List<VirtualWorker> workers = new ArrayList<>();
+
+	private final Map<JobId, ArrivingJob> arrived = new HashMap<>();
+
+	private final Map<JobId, Long> completed = new HashMap<>();
+
+	private final Map<TaskId, Double> saved = new HashMap<>();
+
+	private final Map<GangRun, Long> gangs = new HashMap<>();
+
+	private final SplittableRandom random;
+
+	private final List<String> violations = new ArrayList<>();
+
+	private long sequence;
+
+	private double wastedMillis;
+
+	private FleetRun(FleetLoad load, long seed) {
+		this.load = load;
+		this.random = new SplittableRandom(seed * 31 + 7);
+		for (int number = 0; number < WORKERS; number++) {
+			int zone = number / ZONE;
+			this.workers
+				.add(new VirtualWorker(number, "rack-" + zone + "-" + number % ZONE / RACK, ZONE_SLOWNESS[zone]));
+		}
+	}
+
+	/**
+	 * Plays a load.
+	 * @param load the load
+	 * @param seed draws the jobs and the workers in trouble
+	 * @return how the jobs fared
+	 */
+	public static FleetFigures play(FleetLoad load, long seed) {
+		return new FleetRun(load, seed).play(Arrivals.draw(load, seed, ACCOUNTS));
+	}
+
+	private FleetFigures play(List<ArrivingJob> jobs) {
+		commit(List.of(new FleetCommand.AdoptConfiguration(configuration(), new byte[0])));
+		int next = 0;
+		long end = this.load.seconds() * 1000L + DRAIN_MILLIS;
+		for (long now = 0; now < end; now += TICK_MILLIS) {
+			trouble(now);
+			while (next < jobs.size() && jobs.get(next).atMillis() <= now) {
+				accept(jobs.get(next++), now);
+			}
+			work(now);
+			turn(now);
+		}
+		return new FleetFigures(jobs, this.completed, this.wastedMillis, this.violations);
+	}
+
+	private FleetConfiguration configuration() {
+		List<Queue> queues = this.load.classes()
+			.stream()
+			.map((jobClass) -> new Queue(jobClass.name(), "host", "/" + jobClass.name() + "/", new ServiceId("service"),
+					jobClass.priority(), ATTEMPTS, jobClass.stretch(), jobClass.latencyMillis(), 3000, true))
+			.toList();
+		List<FleetAccount> accounts = new ArrayList<>();
+		for (int account = 0; account < ACCOUNTS; account++) {
+			accounts.add(new FleetAccount(new AccountId("account-" + account), List.of("key-" + account),
+					this.load.accountGuarantee()));
+		}
+		return new FleetConfiguration(1, queues, List.of(new WorkerPool(new ServiceId("service"), true)),
+				new CallLimits(1, 1, 1, 1), accounts);
+	}
+
+	private void commit(List<FleetCommand> commands) {
+		if (!commands.isEmpty() && !this.state.apply(new FleetBatch(1, ++this.sequence, commands))) {
+			throw new IllegalStateException("A batch of the only leader was refused.");
+		}
+	}
+
+	private void accept(ArrivingJob job, long now) {
+		this.arrived.put(job.job(), job);
+		commit(List.of(new FleetCommand.AcceptJob(job.job(), job.jobClass().name(), job.account(), job.plan(), now)));
+	}
+
+	private void turn(long now) {
+		List<VirtualWorker> reporting = this.workers.stream().filter((worker) -> worker.reports(now)).toList();
+		List<WorkerReport> reports = reporting.stream().map(VirtualWorker::report).toList();
+		List<FleetCommand> ends = new ArrayList<>();
+		reports.forEach((report) -> ends.addAll(this.leader.heard(report, now * NANOS).orElse(List.of())));
+		ends.addAll(this.leader.lostRuns(now * NANOS));
+		commit(ends);
+		commit(this.leader.place(now * NANOS, now));
+		for (int place = 0; place < reporting.size(); place++) {
+			WorkerOrders orders = this.leader.orders(reports.get(place));
+			reporting.get(place).obey(orders, now, this::create);
+		}
+		noteCompleted(now);
+	}
+
+	private void noteCompleted(long now) {
+		for (JobId job : this.arrived.keySet()) {
+			if (!this.completed.containsKey(job) && this.state.job(job).orElseThrow().phase() == JobPhase.COMPLETED) {
+				this.completed.put(job, now);
+			}
+		}
+	}
+
+	private VirtualRun create(WorkerOrders.Start start, VirtualWorker worker, long now) {
+		TaskId task = start.task();
+		StepSpec step = this.state.step(task).orElseThrow().spec();
+		ArrivingJob job = this.arrived.get(task.job());
+		this.workers.stream()
+			.filter((other) -> other.runs().containsKey(task) && other != worker)
+			.forEach((other) -> this.violations.add("two runs of " + task));
+		double done = start.checkpoint().isEmpty() ? 0 : this.saved.getOrDefault(task, 0.0);
+		this.gangs.putIfAbsent(new GangRun(task.job(), start.run()), now);
+		return new VirtualRun(task, start.run(), step.room(), step.checkpoints(), step.gang(),
+				job.workMillis()[task.index()], done);
+	}
+
+	private void work(long now) {
+		Set<GangRun> broken = new HashSet<>();
+		Set<GangRun> finished = new HashSet<>();
+		for (VirtualWorker worker : this.workers) {
+			worker.checkLease(now);
+			for (VirtualRun run : List.copyOf(worker.runs().values())) {
+				GangRun gang = new GangRun(run.task.job(), run.run);
+				if (run.gang && !complete(run, gang, now, broken)) {
+					continue;
+				}
+				if (worker.slowness > 0) {
+					run.work(TICK_MILLIS / worker.slowness / worker.usualSlowness());
+				}
+				if (worker.failing) {
+					worker.end(run, RunEnd.FAILED);
+					worker.reportSoon(now, REPORT_AFTER_END_MILLIS);
+					broken.add(gang);
+				}
+				else if (run.finished()) {
+					worker.end(run, RunEnd.DONE);
+					worker.reportSoon(now, REPORT_AFTER_END_MILLIS);
+					finished.add(gang);
+				}
+			}
+		}
+		settleGangs(now, broken, finished);
+	}
+
+	private boolean complete(VirtualRun run, GangRun gang, long now, Set<GangRun> broken) {
+		int size = this.arrived.get(run.task.job()).workMillis().length;
+		List<VirtualWorker> present = this.workers.stream()
+			.filter((worker) -> worker.runs()
+				.values()
+				.stream()
+				.anyMatch((other) -> other.task.job().equals(gang.job()) && other.run == gang.run()))
+			.toList();
+		long members = present.stream()
+			.flatMap((worker) -> worker.runs().values().stream())
+			.filter((other) -> other.task.job().equals(gang.job()) && other.run == gang.run())
+			.count();
+		if (members == size) {
+			boolean spread = present.stream().map(VirtualWorker::rack).distinct().count() > 1;
+			boolean sensitive = this.state.step(run.task).orElseThrow().spec().rackSensitive();
+			run.distance = (spread && sensitive) ? TIMINGS.slowRack() : 1;
+			this.gangs.put(gang, Long.MAX_VALUE / 2);
+			return true;
+		}
+		long since = this.gangs.get(gang);
+		if (since > Long.MAX_VALUE / 4) {
+			broken.add(gang);
+		}
+		else if (now - since > GANG_WAIT_MILLIS) {
+			if (this.workers.stream().noneMatch((worker) -> worker.silent)) {
+				this.violations.add("gang " + gang + " came together with " + members + " of " + size);
+			}
+			broken.add(gang);
+		}
+		return false;
+	}
+
+	private void settleGangs(long now, Set<GangRun> broken, Set<GangRun> finished) {
+		for (VirtualWorker worker : this.workers) {
+			for (VirtualRun run : List.copyOf(worker.runs().values())) {
+				GangRun gang = new GangRun(run.task.job(), run.run);
+				if (run.gang && (broken.contains(gang) || finished.contains(gang))) {
+					if (!run.checkpoints && broken.contains(gang)) {
+						this.wastedMillis += run.percent() / 100.0 * run.room.accelerators();
+					}
+					worker.end(run, finished.contains(gang) ? RunEnd.DONE : RunEnd.BROKEN);
+					worker.reportSoon(now, REPORT_AFTER_END_MILLIS);
+				}
+			}
+		}
+	}
+
+	private void trouble(long now) {
+		for (FleetLoad.Trouble trouble : this.load.troubles()) {
+			long at = (long) (trouble.atSecond() * 1000);
+			long end = at + (long) (trouble.forSeconds() * 1000);
+			if (now == at - at % TICK_MILLIS) {
+				int count = (int) Math.ceil(trouble.share() * WORKERS);
+				for (int index = 0; index < count; index++) {
+					strike(trouble.kind(), this.workers.get(this.random.nextInt(WORKERS)));
+				}
+			}
+			if (now == end - end % TICK_MILLIS) {
+				this.workers.forEach(FleetRun::recover);
+			}
+		}
+	}
+
+	private static void strike(FleetLoad.Trouble.Kind kind, VirtualWorker worker) {
+		switch (kind) {
+			case FAIL -> worker.failing = true;
+			case SLOW -> worker.slowness = 6;
+			case STUCK -> worker.slowness = 0;
+			case SILENT -> worker.silent = true;
+			case LEAVE -> worker.draining = true;
+		}
+	}
+
+	private static void recover(VirtualWorker worker) {
+		worker.failing = false;
+		worker.slowness = 1;
+		worker.silent = false;
+	}
+
+	private record GangRun(JobId job, int run) {
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualWorker.java
@@ -0,0 +1,136 @@
+package io.verbenatrack.bench.fleet;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.verbenatrack.fleet.model.ReportedEnd;
+import io.verbenatrack.fleet.model.ReportedRun;
+import io.verbenatrack.fleet.model.Room;
+import io.verbenatrack.fleet.model.RunEnd;
+import io.verbenatrack.fleet.model.TaskId;
+import io.verbenatrack.fleet.model.WorkerLife;
+import io.verbenatrack.fleet.model.WorkerOrders;
+import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.model.ServiceId;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.model.ZoneId;
+
+/**
+ * A worker on the virtual clock. It holds runs under a lease, keeps ends until they are
+ * taken note of, and refuses what does not fit.
+ */
+final class VirtualWorker {
+
+	private static final Room ROOM = new Room(64_000, 262_144, 8);
+
+	private final WorkerLife life;
+
+	private final String rack;
+
+	private final double usualSlowness;
+
+	private final Map<TaskId, VirtualRun> runs = new LinkedHashMap<>();
+
+	private final List<ReportedEnd> ends = new ArrayList<>();
+
+	private long sequence;
+
+	private long endNumber;
+
+	private long nextReportMillis;
+
+	private long leaseEndMillis;
+
+	/** How much longer its tasks take, 0 while they stand still. */
+	double slowness = 1;
+
+	boolean failing;
+
+	boolean silent;
+
+	boolean draining;
+
+	VirtualWorker(int number, String rack, double usualSlowness) {
+		this.usualSlowness = usualSlowness;
+		this.life = new WorkerLife(new WorkerId("worker-" + number), 1);
+		this.rack = rack;
+	}
+
+	double usualSlowness() {
+		return this.usualSlowness;
+	}
+
+	String rack() {
+		return this.rack;
+	}
+
+	Map<TaskId, VirtualRun> runs() {
+		return this.runs;
+	}
+
+	boolean reports(long nowMillis) {
+		return !this.silent && nowMillis >= this.nextReportMillis;
+	}
+
+	WorkerReport report() {
+		List<ReportedRun> running = this.runs.values()
+			.stream()
+			.map((run) -> new ReportedRun(run.task, run.run, run.checkpoints ? "at-" + run.percent() : "",
+					run.percent()))
+			.toList();
+		return new WorkerReport(this.life, "host-" + this.life.worker() + ":1", new ServiceId("service"),
+				new ZoneId("zone"), this.rack, Set.of("a", this.rack), ROOM, this.draining, ++this.sequence, running,
+				this.ends);
+	}
+
+	void obey(WorkerOrders orders, long nowMillis, VirtualRun.Factory factory) {
+		if (orders.leaseMillis() > 0) {
+			this.leaseEndMillis = nowMillis + orders.leaseMillis();
+		}
+		this.ends.removeIf((end) -> end.number() <= orders.takenNote());
+		for (WorkerOrders.Stop stop : orders.stops()) {
+			VirtualRun run = this.runs.get(stop.task());
+			if (run != null && run.run == stop.run()) {
+				end(run, RunEnd.STOPPED);
+			}
+		}
+		for (WorkerOrders.Start start : orders.starts()) {
+			start(factory.create(start, this, nowMillis));
+		}
+		this.nextReportMillis = nowMillis + orders.retryMillis();
+	}
+
+	private void start(VirtualRun run) {
+		if (this.runs.containsKey(run.task)) {
+			return;
+		}
+		Room used = this.runs.values().stream().map((other) -> other.room).reduce(Room.NONE, Room::plus);
+		if (!run.room.fitsIn(ROOM.minus(used))) {
+			this.ends.add(new ReportedEnd(++this.endNumber, run.task, run.run, RunEnd.REFUSED, ""));
+			return;
+		}
+		this.runs.put(run.task, run);
+	}
+
+	void end(VirtualRun run, RunEnd how) {
+		this.runs.remove(run.task);
+		String checkpoint = (run.checkpoints && how != RunEnd.DONE) ? "at-" + run.percent() : "";
+		this.ends.add(new ReportedEnd(++this.endNumber, run.task, run.run, how, checkpoint));
+	}
+
+	void reportSoon(long nowMillis, long delayMillis) {
+		this.nextReportMillis = Math.min(this.nextReportMillis, nowMillis + delayMillis);
+	}
+
+	void checkLease(long nowMillis) {
+		if (nowMillis > this.leaseEndMillis) {
+			Iterator<VirtualRun> left = List.copyOf(this.runs.values()).iterator();
+			left.forEachRemaining((run) -> end(run, RunEnd.LAPSED));
+		}
+	}
+
+}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
@@ -90,8 +90,7 @@
 
 	// Whether a run that the worker does not list yet should still start there.
 	private boolean wanted(KnownWorker worker, TaskId task) {
-		return !worker.report().draining() && !this.preempted.contains(task)
-				&& this.state.job(task.job()).filter((job) -> !job.phase().ended()).isPresent();
+		return !worker.report().draining() && wantedAtAll(task);
 	}
 
 	/**
@@ -133,10 +132,22 @@
 		PlacementPass pass = new PlacementPass(this.state, this.board, this.timings, this.preempted, nowNanos,
 				nowMillis);
 		pass.run();
-		this.preempted = pass.preempted();
+		this.preempted = withWholeGangs(pass.preempted());
 		return List.copyOf(pass.starts());
 	}
 
+	private Set<TaskId> withWholeGangs(Set<TaskId> tasks) {
+		Set<TaskId> all = new HashSet<>(tasks);
+		for (TaskId task : tasks) {
+			this.state.step(task).filter((step) -> step.spec().gang()).ifPresent((step) -> {
+				for (int index = 0; index < step.tasks().size(); index++) {
+					all.add(new TaskId(task.job(), task.occurrence(), task.step(), index));
+				}
+			});
+		}
+		return all;
+	}
+
 	/**
 	 * Answers a heartbeat whose ends are recorded.
 	 * @param report the heartbeat
@@ -177,9 +188,32 @@
 		return this.state.step(task).filter((step) -> step.spec().gang() && step.done()).isPresent();
 	}
 
+	// A gang whose run has lost a member stops as a whole: the others would only wait for
+	// it.
 	private boolean wantedAtAll(TaskId task) {
 		return !this.preempted.contains(task)
-				&& this.state.job(task.job()).filter((job) -> !job.phase().ended()).isPresent();
+				&& this.state.job(task.job()).filter((job) -> !job.phase().ended()).isPresent()
+				&& this.state.step(task).filter(StepState::broken).isEmpty() && !leavingMember(task);
+	}
+
+	// Whether a member of the task's gang was to start on a worker that leaves.
+	private boolean leavingMember(TaskId task) {
+		Optional<StepState> gang = this.state.step(task).filter((step) -> step.spec().gang());
+		if (gang.isEmpty()) {
+			return false;
+		}
+		for (int index = 0; index < gang.get().tasks().size(); index++) {
+			TaskState member = gang.get().tasks().get(index);
+			TaskId name = new TaskId(task.job(), task.occurrence(), task.step(), index);
+			boolean leaving = member.runningOn()
+				.flatMap((life) -> this.board.worker(life.worker()).filter((worker) -> worker.life().equals(life)))
+				.filter((worker) -> worker.report().draining() && !worker.reportsRunning(name, member.run()))
+				.isPresent();
+			if (leaving) {
+				return true;
+			}
+		}
+		return false;
 	}
 
 	private WorkerOrders.Start start(TaskId task, int run) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacement.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacement.java
@@ -24,8 +24,14 @@
 
 	private final Collection<Host> hosts;
 
-	GangPlacement(Collection<Host> hosts) {
+	private final Reservations reservations;
+
+	private final long nowMillis;
+
+	GangPlacement(Collection<Host> hosts, Reservations reservations, long nowMillis) {
 		this.hosts = hosts;
+		this.reservations = reservations;
+		this.nowMillis = nowMillis;
 	}
 
 	Optional<Map<Integer, Host>> place(PendingStep step, boolean spread) {
@@ -64,10 +70,11 @@
 		return places >= step.waiting().size();
 	}
 
-	private static List<Host> suitable(PendingStep step, Collection<Host> hosts) {
+	private List<Host> suitable(PendingStep step, Collection<Host> hosts) {
 		return hosts.stream()
 			.filter((host) -> host.suits(step.spec()))
 			.filter((host) -> !host.reserved() || step.queue().priority() == 0)
+			.filter((host) -> this.reservations.admits(host, step, this.nowMillis))
 			.filter((host) -> step.waiting()
 				.stream()
 				.noneMatch((index) -> step.avoid(index).filter(host.worker().life()::equals).isPresent()))
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Host.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Host.java
@@ -50,8 +50,8 @@
 		this.free = this.free.minus(room);
 	}
 
-	void giveBack(Room room) {
-		this.free = this.free.plus(room);
+	boolean empty() {
+		return this.free.equals(this.worker.report().room());
 	}
 
 	/** Keeps work of lower priority away while room is being cleared here. */
@@ -75,8 +75,9 @@
 	 * @param priority the priority of its queue
 	 * @param lossMillis how much work a stop would throw away, in milliseconds of run
 	 * time weighted by the room
+	 * @param leftMillis how long it still runs, by its caller's estimate
 	 */
-	record Occupant(TaskId task, Room room, int priority, double lossMillis) {
+	record Occupant(TaskId task, Room room, int priority, double lossMillis, long leftMillis) {
 
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingSteps.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingSteps.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import io.verbenatrack.fleet.model.Queue;
 import io.verbenatrack.fleet.state.FleetState;
@@ -12,9 +15,9 @@
 import io.verbenatrack.fleet.state.TaskState;
 
 /**
- * Decides which steps may start and in which order: by priority, and within a priority
- * the step first that has the least work left, so that many small jobs do not wait for
- * one large one.
+ * Decides which steps may start and in which order: first those that can still be in
+ * time, then by priority, and within a priority the step first that has the least work
+ * left, so that many small jobs do not wait for one large one.
  */
 final class PendingSteps {
 
@@ -24,13 +27,17 @@
 	private PendingSteps() {
 	}
 
-	static List<PendingStep> inOrder(FleetState state, long nowMillis) {
+	static List<PendingStep> inOrder(FleetState state, Predicate<PendingStep> guaranteed, long nowMillis) {
 		List<PendingStep> pending = new ArrayList<>();
 		for (JobState job : state.openJobs()) {
 			Optional<Queue> queue = state.queueOf(job);
 			queue.ifPresent((known) -> collect(job, known, nowMillis, pending));
 		}
-		pending.sort(Comparator.<PendingStep>comparingInt((step) -> step.queue().priority())
+		Map<PendingStep, Outlook> outlooks = new IdentityHashMap<>();
+		pending.forEach((step) -> outlooks.put(step, Outlook.of(step, nowMillis)));
+		pending.sort(Comparator.comparing((PendingStep step) -> !guaranteed.test(step))
+			.thenComparing(outlooks::get)
+			.thenComparingInt((step) -> step.queue().priority())
 			.thenComparingDouble(PendingStep::work));
 		return pending;
 	}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -30,8 +30,15 @@
 	/** A guaranteed gang starts across racks rather than later than this. */
 	private static final long SPREAD_MILLIS = 3500;
 
+	/** What is not guaranteed stops others only when little is thrown away for it. */
+	private static final double LOSS_SHARE = 0.25;
+
 	private final FleetState state;
 
+	private final Reservations reservations = new Reservations();
+
+	private final Map<String, Integer> rackSizes = new HashMap<>();
+
 	private final FleetTimings timings;
 
 	private final Set<TaskId> stopping;
@@ -55,6 +62,7 @@
 		for (KnownWorker worker : board.workers()) {
 			if (worker.usable(nowNanos, timings.workerSilence().toNanos())) {
 				this.hosts.computeIfAbsent(worker.report().service(), (service) -> new ArrayList<>()).add(host(worker));
+				this.rackSizes.merge(worker.report().rack(), 1, Integer::sum);
 			}
 		}
 	}
@@ -82,16 +90,17 @@
 		int priority = this.state.queueOf(job).map((queue) -> queue.priority()).orElse(0);
 		StepSpec spec = step.get().spec();
 		double done = spec.estimatedMillis() * host.worker().percent(task) / 100.0;
+		long left = (long) Math.max(0, spec.estimatedMillis() - done);
 		int bound = spec.gang() ? spec.count() : 1;
 		// What stops already costs nothing more, so that a plan stays as it is.
 		double loss = this.stopping.contains(task) ? 0
 				: spec.checkpoints() ? 1 : 1 + done * bound * PendingStep.weight(spec);
-		host.occupy(new Host.Occupant(task, spec.room(), priority, loss));
+		host.occupy(new Host.Occupant(task, spec.room(), priority, loss, left));
 	}
 
 	void run() {
 		countGuaranteedUse();
-		for (PendingStep step : PendingSteps.inOrder(this.state, this.nowMillis)) {
+		for (PendingStep step : PendingSteps.inOrder(this.state, this::guaranteed, this.nowMillis)) {
 			List<Host> candidates = this.hosts.getOrDefault(step.queue().service(), List.of());
 			if (step.spec().gang()) {
 				placeGang(step, candidates);
@@ -136,13 +145,14 @@
 
 	private void placeGang(PendingStep step, Collection<Host> candidates) {
 		boolean spread = step.queue().priority() == 0 && waitedMillis(step) > SPREAD_MILLIS;
-		Optional<Map<Integer, Host>> found = new GangPlacement(candidates).place(step, spread);
+		Optional<Map<Integer, Host>> found = new GangPlacement(candidates, this.reservations, this.nowMillis)
+			.place(step, spread);
 		if (found.isPresent()) {
 			int run = step.step().nextGangRun();
 			found.get().forEach((index, host) -> start(step, index, run, host));
 		}
-		else {
-			preempt(step, candidates);
+		else if (!preempt(step, candidates)) {
+			this.reservations.keep(step, candidates, this.nowMillis);
 		}
 	}
 
@@ -170,11 +180,14 @@
 		return candidates.stream()
 			.filter((host) -> host.suits(spec) && spec.room().fitsIn(host.free()))
 			.filter((host) -> !host.reserved() || step.queue().priority() == 0)
+			.filter((host) -> this.reservations.admits(host, step, this.nowMillis))
 			.filter((host) -> step.avoid(index).filter(host.worker().life()::equals).isEmpty())
 			.filter((host) -> spec.mostOnOneWorker() == 0
 					|| sharing(step, host) + used.getOrDefault(host, 0) < spec.mostOnOneWorker())
 			.filter((host) -> !awaitRack || nearData(spec, host))
 			.min(Comparator.comparing((Host host) -> !nearData(spec, host))
+				.thenComparing(Host::empty)
+				.thenComparingInt((host) -> this.rackSizes.get(host.rack()))
 				.thenComparingInt((host) -> host.free().accelerators())
 				.thenComparingLong((host) -> host.free().cpuMillis()));
 	}
@@ -197,14 +210,19 @@
 		this.starts.add(new FleetCommand.StartRun(step.task(index), run, host.worker().life()));
 	}
 
-	private void preempt(PendingStep step, Collection<Host> candidates) {
-		if (!guaranteed(step) || waitedMillis(step) < this.timings.preemptAfter().toMillis()) {
-			return;
+	private boolean preempt(PendingStep step, Collection<Host> candidates) {
+		boolean owed = guaranteed(step);
+		boolean urgent = step.queue().priority() == 0 && Outlook.of(step, this.nowMillis) == Outlook.IN_TIME;
+		if ((!owed && !urgent) || waitedMillis(step) < this.timings.preemptAfter().toMillis()) {
+			return false;
 		}
-		new Preemption(candidates).plan(step).ifPresent((plan) -> {
-			this.preempted.addAll(plan.stops());
-			plan.hosts().forEach(Host::reserve);
+		Optional<Preemption.Plan> plan = new Preemption(candidates).plan(step)
+			.filter((found) -> owed || found.loss() <= step.work() * LOSS_SHARE);
+		plan.ifPresent((found) -> {
+			this.preempted.addAll(found.stops());
+			found.hosts().forEach(Host::reserve);
 		});
+		return plan.isPresent();
 	}
 
 	List<FleetCommand.StartRun> starts() {
--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
@@ -0,0 +1,110 @@
+package io.verbenatrack.fleet.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.verbenatrack.fleet.model.Room;
+
+/**
+ * Keeps workers for gangs that find no room, as EASY backfill does (Lifka, 1995): the
+ * workers that are free first are kept, and others may use them only for what ends
+ * before. Without this a wide gang waits for ever behind a stream of small tasks.
+ */
+final class Reservations {
+
+	/** More would leave too many workers idle. */
+	private static final int MOST = 3;
+
+	private final Map<Host, Long> freeAtMillis = new HashMap<>();
+
+	private int kept;
+
+	/**
+	 * Keeps workers for a gang.
+	 * @param step the gang
+	 * @param candidates the workers of its service
+	 * @param nowMillis the time
+	 */
+	void keep(PendingStep step, Collection<Host> candidates, long nowMillis) {
+		if (this.kept >= MOST || Outlook.of(step, nowMillis) == Outlook.MISSED) {
+			return;
+		}
+		List<Host> suitable = candidates.stream()
+			.filter((host) -> host.suits(step.spec()) && !this.freeAtMillis.containsKey(host))
+			.toList();
+		Map<String, List<Host>> racks = new TreeMap<>();
+		suitable.forEach((host) -> racks
+			.computeIfAbsent(step.spec().rackSensitive() ? host.rack() : "", (rack) -> new ArrayList<>())
+			.add(host));
+		Optional<Window> first = racks.values()
+			.stream()
+			.map((hosts) -> window(step, hosts, nowMillis))
+			.flatMap(Optional::stream)
+			.min(Comparator.comparingLong(Window::startMillis));
+		first.ifPresent((window) -> {
+			this.kept++;
+			window.hosts().forEach((host) -> this.freeAtMillis.put(host, window.startMillis()));
+		});
+	}
+
+	private static Optional<Window> window(PendingStep step, List<Host> hosts, long nowMillis) {
+		List<Opening> openings = new ArrayList<>();
+		for (Host host : hosts) {
+			opening(step.spec().room(), host, nowMillis).ifPresent(openings::add);
+		}
+		openings.sort(Comparator.comparingLong(Opening::atMillis));
+		List<Host> used = new ArrayList<>();
+		int places = 0;
+		for (Opening opening : openings) {
+			used.add(opening.host());
+			places += opening.places();
+			if (places >= step.waiting().size()) {
+				return Optional.of(new Window(used, opening.atMillis()));
+			}
+		}
+		return Optional.empty();
+	}
+
+	// When a worker first has room for a member, as its runs end one after the other.
+	private static Optional<Opening> opening(Room need, Host host, long nowMillis) {
+		Room free = host.free();
+		long at = nowMillis;
+		List<Host.Occupant> byEnd = new ArrayList<>(host.occupants());
+		byEnd.sort(Comparator.comparingLong(Host.Occupant::leftMillis));
+		int next = 0;
+		while (need.timesIn(free) == 0 && next < byEnd.size()) {
+			Host.Occupant occupant = byEnd.get(next++);
+			free = free.plus(occupant.room());
+			at = nowMillis + occupant.leftMillis();
+		}
+		int places = need.timesIn(free);
+		return (places > 0) ? Optional.of(new Opening(host, at, places)) : Optional.empty();
+	}
+
+	/**
+	 * Whether a step may start on a worker although it may be kept for another.
+	 * @param host the worker
+	 * @param step the step
+	 * @param nowMillis the time
+	 * @return whether it ends before the worker is needed
+	 */
+	boolean admits(Host host, PendingStep step, long nowMillis) {
+		Long start = this.freeAtMillis.get(host);
+		return start == null || nowMillis + step.spec().estimatedMillis() <= start;
+	}
+
+	private record Opening(Host host, long atMillis, int places) {
+
+	}
+
+	private record Window(List<Host> hosts, long startMillis) {
+
+	}
+
+}
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/StepState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/StepState.java
@@ -68,6 +68,15 @@
 		return this.tasks.stream().anyMatch((task) -> task.run() > 0);
 	}
 
+	/**
+	 * Whether it is a gang of which some members run and others wait for a start.
+	 * @return whether its present run cannot succeed any more
+	 */
+	public boolean broken() {
+		return this.spec.gang() && this.tasks.stream().anyMatch(TaskState::waiting)
+				&& this.tasks.stream().anyMatch((task) -> task.runningOn().isPresent());
+	}
+
 	/**
 	 * The number that a gang's next run gets.
 	 * @return a number higher than that of any member's run
