--- a/bench/src/main/java/io/verbenatrack/bench/fleet/FleetBench.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetBench.java
@@ -26,20 +26,22 @@
 		for (FleetLoad load : loads) {
 			double earned = 0;
 			double served = 0;
+			double net = 0;
 			for (long each = seed; each < seed + seeds; each++) {
 				FleetFigures figures = FleetRun.play(load, each);
 				earned += figures.earnedShare() / seeds;
 				served += figures.servedShare() / seeds;
+				net += figures.netShare() / seeds;
 				held &= figures.violations().isEmpty();
 				figures.violations().forEach((line) -> out.println("VIOLATION " + load.name() + ": " + line));
 				if (seeds == 1) {
 					out.println(load.name() + " " + figures);
 				}
 			}
-			total += earned;
-			out.printf(Locale.ROOT, "%-16s earned %.3f served %.3f%n", load.name(), earned, served);
+			total += net;
+			out.printf(Locale.ROOT, "%-16s earned %.3f net %.3f served %.3f%n", load.name(), earned, net, served);
 		}
-		out.printf(Locale.ROOT, "mean earned %.3f%n", total / loads.size());
+		out.printf(Locale.ROOT, "mean net %.3f%n", total / loads.size());
 		return held;
 	}
 
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/FleetFigures.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetFigures.java
@@ -16,6 +16,9 @@
 	/** Up to this many times its objective a job is late; later it earns nothing. */
 	private static final int LATE_FACTOR = 3;
 
+	/** What the users count for a second of a core that was thrown away. */
+	private static final double LOSS_PRICE = 0.0017;
+
 	private final Map<String, ClassFigures> classes = new TreeMap<>();
 
 	private final List<String> violations;
@@ -60,6 +63,14 @@
 		return this.earned / this.owed;
 	}
 
+	/**
+	 * The part of what was owed that was earned, less the price of the work thrown away.
+	 * @return up to 1
+	 */
+	public double netShare() {
+		return (this.earned - LOSS_PRICE * this.wasted) / this.owed;
+	}
+
 	/**
 	 * The part of the jobs that ended in time or late.
 	 * @return from 0 to 1
@@ -88,8 +99,8 @@
 
 	@Override
 	public String toString() {
-		StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "earned %.3f served %.3f wasted %.0f",
-				earnedShare(), servedShare(), this.wasted));
+		StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
+				"earned %.3f net %.3f served %.3f wasted %.0f", earnedShare(), netShare(), servedShare(), this.wasted));
 		this.classes.forEach((name,
 				figures) -> text.append(String.format(Locale.ROOT, " | %s %d: %d %d %d %.3f", name, figures.jobs,
 						figures.inTime, figures.late, figures.jobs - figures.inTime - figures.late,
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/FleetRun.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetRun.java
@@ -85,8 +85,6 @@
 
 	private long sequence;
 
-	private double wastedMillis;
-
 	private FleetRun(FleetLoad load, long seed) {
 		this.load = load;
 		this.random = new SplittableRandom(seed * 31 + 7);
@@ -119,7 +117,8 @@
 			work(now);
 			turn(now);
 		}
-		return new FleetFigures(jobs, this.completed, this.wastedMillis, this.violations);
+		return new FleetFigures(jobs, this.completed,
+				this.workers.stream().mapToDouble(VirtualWorker::lostCoreSeconds).sum(), this.violations);
 	}
 
 	private FleetConfiguration configuration() {
@@ -249,9 +248,6 @@
 			for (VirtualRun run : List.copyOf(worker.runs().values())) {
 				GangRun gang = new GangRun(run.task.job(), run.run);
 				if (run.gang && (broken.contains(gang) || finished.contains(gang))) {
-					if (!run.checkpoints && broken.contains(gang)) {
-						this.wastedMillis += run.percent() / 100.0 * run.room.accelerators();
-					}
 					worker.end(run, finished.contains(gang) ? RunEnd.DONE : RunEnd.BROKEN);
 					worker.reportSoon(now, REPORT_AFTER_END_MILLIS);
 				}
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualRun.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualRun.java
@@ -11,6 +11,8 @@
 
 	private static final double WHOLE = 100;
 
+	private static final double CORES_OF_AN_ACCELERATOR = 8;
+
 	final TaskId task;
 
 	final int run;
@@ -47,6 +49,11 @@
 		return this.doneMillis >= this.workMillis;
 	}
 
+	double lossCoreSeconds() {
+		double cores = this.room.cpuMillis() / 1000.0 + CORES_OF_AN_ACCELERATOR * this.room.accelerators();
+		return this.checkpoints ? 0 : cores * this.doneMillis / 1000;
+	}
+
 	int percent() {
 		return (int) Math.min(WHOLE, WHOLE * this.doneMillis / this.workMillis);
 	}
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualWorker.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/VirtualWorker.java
@@ -37,6 +37,8 @@
 
 	private final List<ReportedEnd> ends = new ArrayList<>();
 
+	private double lostCoreSeconds;
+
 	private long sequence;
 
 	private long endNumber;
@@ -68,6 +70,10 @@
 		return this.rack;
 	}
 
+	double lostCoreSeconds() {
+		return this.lostCoreSeconds;
+	}
+
 	Map<TaskId, VirtualRun> runs() {
 		return this.runs;
 	}
@@ -118,6 +124,7 @@
 
 	void end(VirtualRun run, RunEnd how) {
 		this.runs.remove(run.task);
+		this.lostCoreSeconds += (how != RunEnd.DONE) ? run.lossCoreSeconds() : 0;
 		String checkpoint = (run.checkpoints && how != RunEnd.DONE) ? "at-" + run.percent() : "";
 		this.ends.add(new ReportedEnd(++this.endNumber, run.task, run.run, how, checkpoint));
 	}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
@@ -113,10 +113,9 @@
 	/**
 	 * Takes note that a worker leaves.
 	 * @param worker the worker
-	 * @param nowNanos when it said so
 	 */
-	public void left(WorkerId worker, long nowNanos) {
-		this.board.worker(worker).ifPresent((known) -> known.leave(nowNanos));
+	public void left(WorkerId worker) {
+		this.board.worker(worker).ifPresent(KnownWorker::leave);
 	}
 
 	/**
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/KnownWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/KnownWorker.java
@@ -24,9 +24,6 @@
 	/** Longer than most workers stay bad; afterwards one more task is tried. */
 	private static final long SUSPICION_NANOS = Duration.ofSeconds(6).toNanos();
 
-	/** A leaving worker ends within this time after it said so. */
-	private static final long LEAVE_NANOS = Duration.ofSeconds(1).toNanos();
-
 	private final Map<TaskId, ReportedRun> running = new HashMap<>();
 
 	private final Map<TaskId, Integer> unlisted = new HashMap<>();
@@ -145,9 +142,9 @@
 		this.leaseEndNanos = Math.max(this.leaseEndNanos, endNanos);
 	}
 
-	void leave(long nowNanos) {
+	// Its lease goes on: when our answer is lost, the worker runs on for seconds.
+	void leave() {
 		this.left = true;
-		this.leaseEndNanos = Math.min(this.leaseEndNanos, nowNanos + LEAVE_NANOS);
 	}
 
 	boolean ended(JobId job, RunEnd how, long nowNanos) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
@@ -35,6 +35,14 @@
 		if (this.kept >= MOST || Outlook.of(step, nowMillis) == Outlook.MISSED) {
 			return;
 		}
+		Optional<Window> first = firstWindow(step, candidates, nowMillis);
+		first.ifPresent((window) -> {
+			this.kept++;
+			window.hosts().forEach((host) -> this.freeAtMillis.put(host, window.startMillis()));
+		});
+	}
+
+	private Optional<Window> firstWindow(PendingStep step, Collection<Host> candidates, long nowMillis) {
 		List<Host> suitable = candidates.stream()
 			.filter((host) -> host.suits(step.spec()) && !this.freeAtMillis.containsKey(host))
 			.toList();
@@ -42,15 +50,11 @@
 		suitable.forEach((host) -> racks
 			.computeIfAbsent(step.spec().rackSensitive() ? host.rack() : "", (rack) -> new ArrayList<>())
 			.add(host));
-		Optional<Window> first = racks.values()
+		return racks.values()
 			.stream()
 			.map((hosts) -> window(step, hosts, nowMillis))
 			.flatMap(Optional::stream)
 			.min(Comparator.comparingLong(Window::startMillis));
-		first.ifPresent((window) -> {
-			this.kept++;
-			window.hosts().forEach((host) -> this.freeAtMillis.put(host, window.startMillis()));
-		});
 	}
 
 	private static Optional<Window> window(PendingStep step, List<Host> hosts, long nowMillis) {
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
@@ -270,4 +270,16 @@
 		assertThat(report(ONE, List.of()).starts()).isNotEmpty();
 	}
 
+	@Test
+	public void runsOfAWorkerThatSaysItLeavesStartElsewhereOnlyAfterItsLease() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		report(ONE, List.of(running(1, 0, 1)));
+		this.leader.left(ONE.worker());
+		this.nowMillis += 6000;
+		assertThat(report(TWO, List.of()).starts()).isEmpty();
+		this.nowMillis += 600;
+		assertThat(report(TWO, List.of()).starts()).extracting(WorkerOrders.Start::run).containsExactly(2);
+	}
+
 }
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallRules.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallRules.java
@@ -57,7 +57,7 @@
 			case FleetCall.CancelJob cancel -> addressed(cancel.origin(), this::cancel);
 			case FleetCall.Heartbeat heartbeat -> heartbeat(heartbeat.report(), arrivedNanos);
 			case FleetCall.Leave leave -> {
-				this.leader.left(leave.worker(), this.nowNanos);
+				this.leader.left(leave.worker());
 				yield CallDecision.of(new FleetReply.Stored());
 			}
 			case FleetCall.ChangeConfiguration change -> change(change);
