--- a/cli/src/main/java/io/verbenatrack/cli/BenchCommand.java
+++ b/cli/src/main/java/io/verbenatrack/cli/BenchCommand.java
@@ -15,6 +15,8 @@
 import io.verbenatrack.bench.control.ControlBench;
 import io.verbenatrack.bench.control.ControlBenchOptions;
 import io.verbenatrack.bench.control.ControlBenchReport;
+import io.verbenatrack.bench.fleet.FleetBench;
+import io.verbenatrack.bench.fleet.FleetLoad;
 import io.verbenatrack.bench.routing.RoutingBench;
 import io.verbenatrack.bench.routing.RoutingBenchOptions;
 import io.verbenatrack.bench.routing.RoutingReport;
@@ -80,13 +82,14 @@
 
 	@Override
 	public List<String> subjects() {
-		return List.of("scheduling", "routing", "control");
+		return List.of("scheduling", "routing", "control", "fleet");
 	}
 
 	@Override
 	public List<String> examples() {
 		return List.of("bench scheduling --workload catering-day --seed 7 --json figures.json",
-				"bench routing --seed 7 --json figures.json", "bench control --seed 7 --schedules 1000");
+				"bench routing --seed 7 --json figures.json", "bench control --seed 7 --schedules 1000",
+				"bench fleet --seed 7 --workload urgent-burst");
 	}
 
 	@Override
@@ -95,6 +98,7 @@
 		return switch (line.getArgList().getLast()) {
 			case "routing" -> routing(line, console, seed);
 			case "control" -> control(line, console, seed);
+			case "fleet" -> fleet(line, console, seed);
 			default -> scheduling(line, console, seed);
 		};
 	}
@@ -133,6 +137,18 @@
 		}
 	}
 
+	private static ExitCode fleet(CommandLine line, Console console, long seed) throws UsageException {
+		try {
+			List<FleetLoad> loads = line.hasOption(WORKLOAD) ? List.of(FleetLoad.of(line.getOptionValue(WORKLOAD)))
+					: FleetLoad.all();
+			return FleetBench.run(loads, seed, 1, console.out()) ? ExitCode.DONE : ExitCode.REFUSED;
+		}
+		catch (IllegalArgumentException ex) {
+			throw new UsageException("The option --workload has '" + line.getOptionValue(WORKLOAD) + "'.",
+					ex.getMessage());
+		}
+	}
+
 	private static ExitCode finish(CommandLine line, Console console, String text, Object report)
 			throws UsageException {
 		console.out().print(text);
--- a/cli/src/main/java/io/verbenatrack/cli/Command.java
+++ b/cli/src/main/java/io/verbenatrack/cli/Command.java
@@ -9,7 +9,7 @@
  * One command of the command line.
  */
 sealed interface Command permits LocalRunCommand, ServeCommand, CheckCommand, DiffCommand, ApplyCommand, SubmitCommand,
-		CancelCommand, StatusCommand, ViewCommand, BenchCommand {
+		CancelCommand, StatusCommand, ViewCommand, BenchCommand, ExplainCommand {
 
 	/**
 	 * The word that selects the command.
--- a/cli/src/main/java/io/verbenatrack/cli/Commands.java
+++ b/cli/src/main/java/io/verbenatrack/cli/Commands.java
@@ -11,7 +11,7 @@
 	/** The commands, in the order of the help. */
 	static final List<Command> ALL = List.of(new LocalRunCommand(), new ServeCommand(), new CheckCommand(),
 			new DiffCommand(), new ApplyCommand(), new SubmitCommand(), new CancelCommand(), new StatusCommand(),
-			new ViewCommand(), new BenchCommand());
+			new ViewCommand(), new BenchCommand(), new ExplainCommand());
 
 	private Commands() {
 	}
--- /dev/null
+++ b/cli/src/main/java/io/verbenatrack/cli/explain/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reads the logs of several instances.
+ */
+package io.verbenatrack.cli.explain;
--- /dev/null
+++ b/cli/src/test/java/io/verbenatrack/cli/explain/LogStoryTests.java
@@ -0,0 +1,78 @@
+package io.verbenatrack.cli.explain;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link LogStory}: the key lines of three kinds of failed request.
+ */
+public class LogStoryTests {
+
+	private static final String JOB = "5c0e7a21d94b36f8";
+
+	private static String event(String time, String name, String fields) {
+		return "{\"time\":\"2026-01-01T00:00:" + time + "Z\",\"name\":\"" + name + "\",\"fields\":{" + fields + "}}";
+	}
+
+	private static List<String> story(String... logs) throws IOException {
+		LogStory story = new LogStory(JOB);
+		for (String log : logs) {
+			Path file = Files.createTempFile("log", ".log");
+			Files.writeString(file, log);
+			story.read(file.toString());
+			Files.delete(file);
+		}
+		return story.lines();
+	}
+
+	@Test
+	public void refusalShowsTheLeaderThatCouldNotBeReached() throws IOException {
+		List<String> lines = story(
+				event("02.000", "FLEET_CALL_ANSWERED", "\"path\":\"/q/" + JOB + "\",\"reply\":\"Refused\"") + "\n"
+						+ event("01.500", "FLEET_LEADER_UNREACHABLE", ""),
+				event("01.000", "FLEET_LEADER_ENDED", "\"term\":2"));
+		assertThat(lines).hasSize(3);
+		assertThat(lines.get(0)).contains("FLEET_LEADER_ENDED");
+		assertThat(lines.get(1)).contains("FLEET_LEADER_UNREACHABLE");
+		assertThat(lines.get(2)).contains("Refused");
+	}
+
+	@Test
+	public void lateJobShowsTheWorkerThatWasLostAndTheGap() throws IOException {
+		String run = "\"job\":\"" + JOB + "\",\"task\":\"0.0.0\",\"worker\":\"w-1\"";
+		List<String> lines = story("a warning of the runtime\n" + event("01.000", "FLEET_RUN_STARTED", run) + "\n"
+				+ event("07.600", "FLEET_WORKER_GONE", "\"worker\":\"w-1\",\"silentMillis\":6500") + "\n"
+				+ event("07.600", "FLEET_RUN_ENDED", run + ",\"how\":\"LOST\"") + "\n"
+				+ event("07.600", "FLEET_RUN_ENDED", "\"job\":\"other\",\"worker\":\"w-1\"") + "\n"
+				+ event("07.600", "FLEET_WORKER_GONE", "\"worker\":\"w-2\""));
+		assertThat(lines).hasSize(4);
+		assertThat(lines.get(1)).contains("6600 ms without a line");
+		assertThat(lines.get(2)).contains("FLEET_WORKER_GONE").contains("w-1");
+		assertThat(lines.get(3)).contains("LOST");
+	}
+
+	@Test
+	public void unknownOutcomeShowsTheChangeOfLeader() throws IOException {
+		List<String> lines = story(
+				event("03.000", "FLEET_CALL_ANSWERED", "\"path\":\"/q/" + JOB + "\",\"reply\":\"OutcomeUnknown\""),
+				event("02.000", "FLEET_COMMIT_FAILED", "\"term\":2,\"outcome\":\"UNKNOWN\""),
+				event("02.900", "FLEET_LEADER_BEGAN", "\"term\":3"));
+		assertThat(lines).hasSize(3);
+		assertThat(lines.get(0)).contains("FLEET_COMMIT_FAILED");
+		assertThat(lines.get(1)).contains("\"term\":3");
+	}
+
+	@Test
+	public void missingIdIsSaid() throws IOException {
+		assertThat(story(event("01.000", "FLEET_LEADER_BEGAN", "\"term\":2"))).singleElement()
+			.asString()
+			.contains("No log names " + JOB);
+	}
+
+}
--- a/scheduling/src/main/java/io/verbenatrack/scheduling/rules/BadJob.java
+++ b/scheduling/src/main/java/io/verbenatrack/scheduling/rules/BadJob.java
@@ -23,6 +23,12 @@
 	 */
 	static final int UNPROVEN_FACTOR = 4;
 
+	/**
+	 * A job that failed this many times as often, on whatever workers, is refused, so
+	 * that each job has an outcome and its history stays short.
+	 */
+	static final int MOST_FAILURES_FACTOR = 16;
+
 	private BadJob() {
 	}
 
@@ -34,6 +40,11 @@
 	 * @return why it is refused, with its history, or empty to try again
 	 */
 	public static Optional<Problem> decide(FleetState fleet, JobRecord job, int refuseAfterWorkers) {
+		if (job.failures().size() >= MOST_FAILURES_FACTOR * refuseAfterWorkers) {
+			Set<WorkerId> failedOn = new LinkedHashSet<>();
+			job.failures().forEach((failure) -> failedOn.add(failure.worker()));
+			return Optional.of(problem(job, failedOn));
+		}
 		Set<WorkerId> good = new LinkedHashSet<>();
 		Set<WorkerId> unproven = new LinkedHashSet<>();
 		Set<WorkerId> all = new LinkedHashSet<>();
--- a/scheduling/src/test/java/io/verbenatrack/scheduling/rules/BadJobTests.java
+++ b/scheduling/src/test/java/io/verbenatrack/scheduling/rules/BadJobTests.java
@@ -28,6 +28,25 @@
 		assertThat(failedOn(3, false)).isFalse();
 	}
 
+	@Test
+	public void refusesAJobThatFailedAgainAndAgainOnOneWorker() {
+		assertThat(failedOnOneWorker(BadJob.MOST_FAILURES_FACTOR * REFUSE_AFTER)).isTrue();
+	}
+
+	@Test
+	public void triesAgainOnOneWorkerBeforeThat() {
+		assertThat(failedOnOneWorker(BadJob.MOST_FAILURES_FACTOR * REFUSE_AFTER - 1)).isFalse();
+	}
+
+	private static boolean failedOnOneWorker(int failures) {
+		RuleFixture fixture = new RuleFixture(12);
+		JobRecord job = fixture.waiting("bad", 1);
+		for (int failure = 0; failure < failures; failure++) {
+			fixture.fail(job, 0);
+		}
+		return BadJob.decide(fixture.state.fleet(), job, REFUSE_AFTER).isPresent();
+	}
+
 	private static boolean failedOn(int workers, boolean proven) {
 		RuleFixture fixture = new RuleFixture(12);
 		JobRecord job = fixture.waiting("bad", 1);
