Grow the control log to as many voters as the deployment needs, and look queues up by an index

Cause: with three voters a deployment that may lose two machines has no quorum; a newcomer stayed a learner beside three voters for ever. Founders that all lost their disks could have formed a second cluster. A voter whose place was given away never came back. Each call and each waiting job searched all queues, and the grown deployments have thousands. Change: MembershipPlan says how many voters there are to be (two for each loss, and one), whether a cluster may be formed, and how long a voter may be silent; a replica that no leader calls for 3 s announces itself. ConfigurationIndex finds queues, accounts and keys.

--- a/control/src/main/java/io/verbenatrack/control/driver/Replica.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/Replica.java
@@ -102,7 +102,7 @@
 		ReplicaConfiguration configuration = new ReplicaConfiguration(settings.clusterName(),
 				settings.self().member(this.self.incarnation()),
 				settings.replicas().stream().map((peer) -> peer.member("")).toList(), settings.timings(),
-				settings.limits());
+				settings.limits(), settings.membership());
 		long seed = ThreadLocalRandom.current().nextLong();
 		return new ReplicaCore(configuration, recovered, new SplittableRandom(seed), this.clock.nanoTime());
 	}
--- a/control/src/main/java/io/verbenatrack/control/replica/Formation.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/Formation.java
@@ -1,5 +1,7 @@
 package io.verbenatrack.control.replica;
 
+import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -16,12 +18,17 @@
  * <p>
  * The first founder by name writes the first membership, once every other founder has
  * said that its disk is empty and that it heard this very incarnation. So a founder that
- * lost its disk later cannot found a second cluster beside the first.
+ * lost its disk later cannot found a second cluster beside the first. A replica that no
+ * leader calls any more, since its place was given to another while it was away,
+ * announces itself too, so that it comes back as a learner.
  */
 final class Formation {
 
 	private static final long FIRST_TERM = 1;
 
+	/** Several elections; a member that is still in its place was called by then. */
+	private static final long STRANDED_NANOS = Duration.ofSeconds(3).toNanos();
+
 	private final ReplicaState state;
 
 	private final Map<String, ReplicaMember> heard = new TreeMap<>();
@@ -39,24 +46,40 @@
 	}
 
 	void tick() {
-		if (this.state.role != ReplicaRole.UNFORMED || this.forming) {
+		if (this.state.role != ReplicaRole.UNFORMED) {
+			if (stranded() && announcementDue()) {
+				announce(this.state.membership().getVotersList());
+			}
+			return;
+		}
+		if (this.forming) {
 			return;
 		}
 		formWhenReady();
-		long interval = this.state.configuration.timings().announcement().toNanos();
-		if (!this.forming && (!this.announced || this.state.now - this.announcedNanos >= interval)) {
-			announce();
+		if (!this.forming && announcementDue()) {
+			announce(this.state.configuration.founders());
 		}
 	}
 
-	private void announce() {
+	private boolean stranded() {
+		return !this.state.role.leading() && this.state.role != ReplicaRole.FAULTED
+				&& this.state.now - this.state.leaderHeard >= STRANDED_NANOS;
+	}
+
+	private boolean announcementDue() {
+		long interval = this.state.configuration.timings().announcement().toNanos();
+		return !this.announced || this.state.now - this.announcedNanos >= interval;
+	}
+
+	private void announce(List<ReplicaMember> receivers) {
 		this.announced = true;
 		this.announcedNanos = this.state.now;
 		Announcement.Builder announcement = Announcement.newBuilder().setMember(this.state.configuration.self());
 		this.heard.values().forEach((member) -> announcement.addHeard(ReplicaId.of(member).text()));
-		for (ReplicaMember founder : this.state.configuration.founders()) {
-			if (!isSelf(founder)) {
-				this.state.send(founder, this.state.message(founder).setAnnouncement(announcement));
+		for (ReplicaMember receiver : receivers) {
+			if (!isSelf(receiver)) {
+				ReplicaMember byName = receiver.toBuilder().clearIncarnation().build();
+				this.state.send(byName, this.state.message(byName).setAnnouncement(announcement));
 			}
 		}
 	}
@@ -80,6 +103,9 @@
 	private void formWhenReady() {
 		var founders = this.state.configuration.founders();
 		String first = founders.stream().map(ReplicaMember::getInstance).sorted().findFirst().orElse("");
+		if (!this.state.configuration.membership().mayForm()) {
+			return;
+		}
 		boolean allReady = founders.stream()
 			.allMatch((founder) -> isSelf(founder) || this.ready.containsKey(founder.getInstance()));
 		if (first.equals(this.state.configuration.self().getInstance()) && allReady) {
--- a/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
@@ -1,6 +1,5 @@
 package io.verbenatrack.control.replica;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Predicate;
 
@@ -18,14 +17,6 @@
 	/** No proposer waits for a change that the leader makes itself. */
 	private static final long NO_TOKEN = 0;
 
-	/** With fewer voters none may fail. */
-	private static final int LEAST_VOTERS = 3;
-
-	/**
-	 * Longer than a restart; a voter that is silent for so long gives way to a learner.
-	 */
-	private static final long REPLACE_AFTER_NANOS = Duration.ofSeconds(8).toNanos();
-
 	private final ReplicaState state;
 
 	private final Leadership leadership;
@@ -89,12 +80,12 @@
 		return without((voter) -> voter.getInstance().equals(learner.getInstance()));
 	}
 
-	// A newcomer stays a learner beside an odd number of voters: with one more, no more
-	// of
-	// them may fail.
+	// A newcomer stays a learner once there are as many voters as wanted: with an even
+	// number of them no more may fail.
 	private Optional<Membership> promotion(ReplicaMember learner) {
 		int voters = this.state.membership().getVotersCount();
-		return (voters % 2 == 0 || voters < LEAST_VOTERS) ? Optional.of(promoted(learner)) : Optional.empty();
+		boolean wanted = voters < this.state.configuration.membership().voters();
+		return (wanted || voters % 2 == 0) ? Optional.of(promoted(learner)) : Optional.empty();
 	}
 
 	// One of them at a time, since a membership may follow another by one vote only.
@@ -115,8 +106,9 @@
 	}
 
 	private boolean silent(ReplicaMember voter) {
+		long patience = this.state.configuration.membership().replaceAfter().toNanos();
 		return !ReplicaId.of(voter).equals(this.state.self) && this.leadership.follower(ReplicaId.of(voter))
-			.filter((progress) -> this.state.now - progress.answeredNanos < REPLACE_AFTER_NANOS)
+			.filter((progress) -> this.state.now - progress.answeredNanos < patience)
 			.isEmpty();
 	}
 
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaConfiguration.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaConfiguration.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import io.verbenatrack.control.MembershipPlan;
 import io.verbenatrack.control.ReplicaLimits;
 import io.verbenatrack.control.ReplicaTimings;
 import io.verbenatrack.protocol.control.ReplicaMember;
@@ -15,9 +16,10 @@
  * instance that is none of them joins later
  * @param timings how long it waits
  * @param limits what it holds at most
+ * @param membership who is to hold the log
  */
 public record ReplicaConfiguration(String clusterName, ReplicaMember self, List<ReplicaMember> founders,
-		ReplicaTimings timings, ReplicaLimits limits) {
+		ReplicaTimings timings, ReplicaLimits limits, MembershipPlan membership) {
 
 	public ReplicaConfiguration {
 		founders = List.copyOf(founders);
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 
-import io.verbenatrack.fleet.model.FleetAccount;
 import io.verbenatrack.fleet.model.Room;
 import io.verbenatrack.fleet.model.StepSpec;
 import io.verbenatrack.fleet.model.TaskId;
@@ -132,11 +131,7 @@
 			return false;
 		}
 		int granted = this.state.configuration()
-			.flatMap((configuration) -> configuration.accounts()
-				.stream()
-				.filter((account) -> account.account().equals(step.job().account()))
-				.findFirst())
-			.map(FleetAccount::guaranteedAccelerators)
+			.map((configuration) -> configuration.guaranteedAccelerators(step.job().account()))
 			.orElse(0);
 		return this.guaranteedUse.getOrDefault(step.job().account(), 0) <= granted;
 	}
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.verbenatrack.fleet.model.ConfigurationIndex;
 import io.verbenatrack.fleet.model.FleetConfiguration;
 import io.verbenatrack.fleet.model.Queue;
 import io.verbenatrack.fleet.model.RunEnd;
@@ -26,7 +27,7 @@
 
 	private final Map<WorkerLife, Map<TaskId, Integer>> runs = new HashMap<>();
 
-	private Optional<FleetConfiguration> configuration = Optional.empty();
+	private Optional<ConfigurationIndex> configuration = Optional.empty();
 
 	private byte[] document = new byte[0];
 
@@ -84,7 +85,7 @@
 
 	private void adopt(FleetCommand.AdoptConfiguration adopt) {
 		if (adopt.configuration().version() > version()) {
-			this.configuration = Optional.of(adopt.configuration());
+			this.configuration = Optional.of(new ConfigurationIndex(adopt.configuration()));
 			this.document = adopt.document();
 		}
 	}
@@ -166,7 +167,7 @@
 	 * The configuration in force.
 	 * @return the configuration, empty before the first
 	 */
-	public Optional<FleetConfiguration> configuration() {
+	public Optional<ConfigurationIndex> configuration() {
 		return this.configuration;
 	}
 
@@ -175,7 +176,7 @@
 	 * @return the version, less than any other before the first
 	 */
 	public long version() {
-		return this.configuration.map(FleetConfiguration::version).orElse(Long.MIN_VALUE);
+		return this.configuration.map((known) -> known.configuration().version()).orElse(Long.MIN_VALUE);
 	}
 
 	/**
@@ -222,14 +223,15 @@
 	}
 
 	FleetSnapshot snapshot() {
-		return new FleetSnapshot(FleetSnapshot.FORMAT, this.term, this.sequence, this.configuration, this.document,
+		return new FleetSnapshot(FleetSnapshot.FORMAT, this.term, this.sequence,
+				this.configuration.map(ConfigurationIndex::configuration), this.document,
 				this.jobs.values().stream().map(JobState::record).toList());
 	}
 
 	void restore(FleetSnapshot snapshot) {
 		this.term = snapshot.term();
 		this.sequence = snapshot.sequence();
-		this.configuration = snapshot.configuration();
+		this.configuration = snapshot.configuration().map(ConfigurationIndex::new);
 		this.document = snapshot.document();
 		this.jobs.clear();
 		this.open.clear();
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallRules.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallRules.java
@@ -7,9 +7,9 @@
 
 import io.verbenatrack.fleet.call.FleetCall;
 import io.verbenatrack.fleet.call.FleetReply;
+import io.verbenatrack.fleet.model.ConfigurationIndex;
 import io.verbenatrack.fleet.model.ConfigurationRule;
 import io.verbenatrack.fleet.model.FleetAccount;
-import io.verbenatrack.fleet.model.FleetConfiguration;
 import io.verbenatrack.fleet.model.JobPhase;
 import io.verbenatrack.fleet.model.Queue;
 import io.verbenatrack.fleet.model.WorkerReport;
@@ -60,13 +60,13 @@
 			}
 			case FleetCall.ChangeConfiguration change -> change(change);
 			case FleetCall.ReadConfiguration read -> CallDecision.of(configuration());
-			case FleetCall.Probe probe ->
-				CallDecision.of(new FleetReply.Reached(this.state.configuration().map(FleetConfiguration::limits)));
+			case FleetCall.Probe probe -> CallDecision
+				.of(new FleetReply.Reached(this.state.configuration().map((known) -> known.configuration().limits())));
 		};
 	}
 
 	private CallDecision addressed(FleetCall.Origin origin, Function<Place, CallDecision> action) {
-		Optional<FleetConfiguration> configuration = this.state.configuration();
+		Optional<ConfigurationIndex> configuration = this.state.configuration();
 		if (configuration.isEmpty()) {
 			return CallDecision.of(unconfigured("Come back once an operator has sent one."));
 		}
