Keep workers for more gangs on a large fleet, preempt sooner, and start stuck runs elsewhere

Change: workers are kept for one gang in 20 workers, three at least; preemption after 150 ms. A run that shows no progress is stopped and starts on another worker (RunWatch, RunMoves). A start that no answer has carried is withdrawn once its worker is silent, instead of after its lease. A step stops looking for room at the first of its like tasks that finds none.

--- a/bench/src/main/java/io/verbenatrack/bench/fleet/Arrivals.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/Arrivals.java
@@ -18,6 +18,9 @@
 
 	private static final int MILLIS = 1000;
 
+	/** Only gangs that half a rack holds are sensitive to racks, in accelerators. */
+	private static final int WIDEST_IN_RACK = 32;
+
 	private static final double WIDTH_SPREAD = 0.7;
 
 	private static final double SMALLEST_CREDIT = 0.3;
@@ -45,6 +48,9 @@
 	}
 
 	private void draw(JobClass jobClass, List<ArrivingJob> jobs) {
+		for (int job = 0; job < this.load.size().filled() * jobClass.priority(); job++) {
+			jobs.add(job(jobClass, 0));
+		}
 		double now = 0;
 		while (true) {
 			double rate = jobClass.perSecond() * this.load.factor() * burst(jobClass, now);
@@ -69,10 +75,11 @@
 	private ArrivingJob job(JobClass jobClass, long atMillis) {
 		int[] choices = jobClass.accelerators();
 		int accelerators = choices[this.random.nextInt(choices.length)];
-		int most = (accelerators >= 8) ? Math.min(5, jobClass.mostTasks()) : jobClass.mostTasks();
+		int most = this.load.size().mostTasks(accelerators, jobClass.mostTasks());
 		int count = (int) Math.clamp(Math.round(lognormal(jobClass.width(), WIDTH_SPREAD)), 1, most);
 		boolean checkpoints = this.random.nextDouble() < jobClass.checkpointShare();
-		boolean rack = this.random.nextDouble() < jobClass.rackShare();
+		boolean narrow = count * accelerators <= WIDEST_IN_RACK;
+		boolean rack = this.random.nextDouble() < jobClass.rackShare() && narrow;
 		double work = lognormal(jobClass.workMillis(), jobClass.workSpread());
 		long[] works = new long[count];
 		for (int index = 0; index < count; index++) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +45,13 @@
 
 	private final List<FleetNote> notes = new ArrayList<>();
 
+	private final RunMoves moves;
+
+	/**
+	 * Starts that no answer has carried yet, so that their worker knows nothing of them.
+	 */
+	private final Map<TaskId, Integer> unsent = new HashMap<>();
+
 	private Set<TaskId> preempted = Set.of();
 
 	private Set<JobId> waitingJobs = Set.of();
@@ -60,6 +68,7 @@
 		this.timings = timings;
 		this.term = term;
 		this.board = new WorkerBoard(nowNanos, timings.worstLeaseNanos());
+		this.moves = new RunMoves(state, this.board);
 	}
 
 	/**
@@ -79,6 +88,7 @@
 		if (known.isPresent() && report.draining() && !wasDraining) {
 			this.notes.add(new FleetNote.WorkerDraining(report.life(), report.running().size()));
 		}
+		known.ifPresent((worker) -> this.notes.addAll(this.moves.heard(worker, nowNanos)));
 		return known.map((worker) -> record(worker, report, nowNanos));
 	}
 
@@ -99,7 +109,7 @@
 			if (worker.reportsRunning(task, run) || ended.contains(task)) {
 				worker.listed(task);
 			}
-			else if (worker.countUnlisted(task) >= UNLISTED_REPORTS && !wanted(task)) {
+			else if (!wanted(task) && (unsent(task, run) || worker.countUnlisted(task) >= UNLISTED_REPORTS)) {
 				commands.add(new FleetCommand.EndRun(task, run, report.life(), RunEnd.LOST, ""));
 			}
 		});
@@ -122,12 +132,15 @@
 	public List<FleetCommand> lostRuns(long nowNanos) {
 		List<FleetCommand> commands = new ArrayList<>();
 		for (WorkerLife life : this.state.livesInUse()) {
+			Optional<KnownWorker> known = this.board.worker(life);
 			if (this.board.dead(life, nowNanos)) {
-				Optional<KnownWorker> known = this.board.worker(life);
 				this.state.runsOn(life)
 					.forEach((task, run) -> commands.add(new FleetCommand.EndRun(task, run, life, RunEnd.LOST,
 							known.map((worker) -> worker.checkpoint(task, run)).orElse(""))));
 			}
+			else if (known.filter((worker) -> worker.reachable(nowNanos, this.timings.workerSilence())).isEmpty()) {
+				withdraw(life, commands);
+			}
 		}
 		this.board.dropGone(nowNanos)
 			.forEach((worker) -> this.notes.add(new FleetNote.WorkerGone(worker.life(),
@@ -135,6 +148,26 @@
 		return commands;
 	}
 
+	// A worker that went silent before it was told of a start can have begun nothing.
+	private void withdraw(WorkerLife life, List<FleetCommand> commands) {
+		this.state.runsOn(life).forEach((task, run) -> {
+			if (unsent(task, run)) {
+				commands.add(new FleetCommand.EndRun(task, run, life, RunEnd.LOST, ""));
+			}
+		});
+	}
+
+	private boolean underWay(TaskId task, int run) {
+		return this.state.step(task)
+			.map((step) -> step.tasks().get(task.index()))
+			.filter((present) -> present.run() == run && present.runningOn().isPresent())
+			.isPresent();
+	}
+
+	private boolean unsent(TaskId task, int run) {
+		return Integer.valueOf(run).equals(this.unsent.get(task));
+	}
+
 	/**
 	 * Decides what starts now.
 	 * @param nowNanos the time of the monotonic clock
@@ -142,9 +175,12 @@
 	 * @return the starts; they leave with the answers to the workers' next heartbeats
 	 */
 	public List<FleetCommand> place(long nowNanos, long nowMillis) {
-		PlacementPass pass = new PlacementPass(this.state, this.board, this.timings, this.preempted, nowNanos,
-				nowMillis);
+		this.moves.tidy(nowNanos);
+		this.unsent.entrySet().removeIf((start) -> !underWay(start.getKey(), start.getValue()));
+		PlacementPass pass = new PlacementPass(this.state, this.board, this.timings, this.moves, this.preempted,
+				nowNanos, nowMillis);
 		pass.run();
+		pass.starts().forEach((start) -> this.unsent.put(start.task(), start.run()));
 		notePreempted(withWholeGangs(pass.preempted()));
 		noteWaiting(pass.waiting());
 		return List.copyOf(pass.starts());
@@ -217,6 +253,7 @@
 			}
 			else if (!listed) {
 				starts.add(start(task, run));
+				this.unsent.remove(task);
 			}
 		});
 		for (ReportedRun running : report.running()) {
@@ -235,7 +272,7 @@
 
 	// A gang whose run has lost a member stops as a whole: the others would only wait.
 	private boolean wanted(TaskId task) {
-		return !this.preempted.contains(task)
+		return !this.preempted.contains(task) && !this.moves.moves(task)
 				&& this.state.job(task.job()).filter((job) -> !job.phase().ended()).isPresent()
 				&& this.state.step(task).filter(StepState::broken).isEmpty() && !leavingMember(task);
 	}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetNote.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetNote.java
@@ -58,6 +58,18 @@
 
 	}
 
+	/**
+	 * A run stands still and is stopped so that it starts again on another worker.
+	 *
+	 * @param task the task
+	 * @param run the number of its run
+	 * @param life where it is held up
+	 * @param percent how far it is
+	 */
+	record RunMoved(TaskId task, int run, WorkerLife life, int percent) implements FleetNote {
+
+	}
+
 	/**
 	 * A job waits since no workers have room for it.
 	 *
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
@@ -27,8 +27,11 @@
 	/** Short against a task's run time; 33 workers then send 165 reports a second. */
 	private static final Duration REPORT = Duration.ofMillis(200);
 
-	/** Half of what the objective of a guaranteed job leaves beside its work. */
-	private static final Duration PREEMPT_AFTER = Duration.ofMillis(500);
+	/**
+	 * Workers that stop a run and report take a second more; short urgent jobs have less
+	 * than two.
+	 */
+	private static final Duration PREEMPT_AFTER = Duration.ofMillis(150);
 
 	/**
 	 * The usual timings.
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/KnownWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/KnownWorker.java
@@ -154,22 +154,33 @@
 		else if (how == RunEnd.FAILED) {
 			this.failedJobs.add(job);
 			if (this.failedJobs.size() >= SUSPICIOUS_JOBS) {
-				this.suspectUntilNanos = nowNanos + SUSPICION_NANOS;
+				suspect(nowNanos);
 				return true;
 			}
 		}
 		return false;
 	}
 
+	void suspect(long nowNanos) {
+		this.suspectUntilNanos = nowNanos + SUSPICION_NANOS;
+	}
+
+	boolean suspected(long nowNanos) {
+		return nowNanos - this.suspectUntilNanos < 0;
+	}
+
+	boolean reachable(long nowNanos, Duration silence) {
+		return silentNanos(nowNanos) <= silence.toNanos();
+	}
+
 	/**
 	 * Whether it may be given new work.
 	 * @param nowNanos the time
-	 * @param silenceNanos the longest silence after which it still counts as reachable
+	 * @param silence the longest silence after which it still counts as reachable
 	 * @return whether it is reachable, stays and has not failed job after job
 	 */
-	public boolean usable(long nowNanos, long silenceNanos) {
-		return !this.left && !this.report.draining() && silentNanos(nowNanos) <= silenceNanos
-				&& nowNanos - this.suspectUntilNanos >= 0;
+	public boolean usable(long nowNanos, Duration silence) {
+		return !this.left && !this.report.draining() && reachable(nowNanos, silence) && !suspected(nowNanos);
 	}
 
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -40,8 +40,12 @@
 
 	private final FleetTimings timings;
 
+	private final RunMoves moves;
+
 	private final Set<TaskId> stopping;
 
+	private final long nowNanos;
+
 	private final long nowMillis;
 
 	private final Map<ServiceId, List<Host>> hosts = new LinkedHashMap<>();
@@ -54,14 +58,16 @@
 
 	private final Map<AccountId, Integer> guaranteedUse = new HashMap<>();
 
-	PlacementPass(FleetState state, WorkerBoard board, FleetTimings timings, Set<TaskId> stopping, long nowNanos,
-			long nowMillis) {
+	PlacementPass(FleetState state, WorkerBoard board, FleetTimings timings, RunMoves moves, Set<TaskId> stopping,
+			long nowNanos, long nowMillis) {
+		this.moves = moves;
 		this.stopping = stopping;
 		this.state = state;
 		this.timings = timings;
+		this.nowNanos = nowNanos;
 		this.nowMillis = nowMillis;
 		for (KnownWorker worker : board.workers()) {
-			if (worker.usable(nowNanos, timings.workerSilence().toNanos())) {
+			if (worker.usable(nowNanos, timings.workerSilence())) {
 				this.hosts.computeIfAbsent(worker.report().service(), (service) -> new ArrayList<>()).add(host(worker));
 				this.rackSizes.merge(worker.report().rack(), 1, Integer::sum);
 			}
@@ -90,12 +96,12 @@
 		JobState job = this.state.job(task.job()).orElseThrow();
 		int priority = this.state.queueOf(job).map((queue) -> queue.priority()).orElse(0);
 		StepSpec spec = step.get().spec();
+		boolean stops = this.stopping.contains(task) || this.moves.moves(task);
 		double done = spec.estimatedMillis() * host.worker().percent(task) / 100.0;
 		long left = (long) Math.max(0, spec.estimatedMillis() - done);
 		int bound = spec.gang() ? spec.count() : 1;
 		// What stops already costs nothing more, so that a plan stays as it is.
-		double loss = this.stopping.contains(task) ? 0
-				: spec.checkpoints() ? 1 : 1 + done * bound * PendingStep.weight(spec);
+		double loss = stops ? 0 : spec.checkpoints() ? 1 : 1 + done * bound * PendingStep.weight(spec);
 		host.occupy(new Host.Occupant(task, spec.room(), priority, loss, left));
 	}
 
@@ -142,7 +148,8 @@
 
 	private void placeGang(PendingStep step, Collection<Host> candidates) {
 		boolean spread = step.queue().priority() == 0 && waitedMillis(step) > SPREAD_MILLIS;
-		Optional<Map<Integer, Host>> found = new GangPlacer(candidates, this.reservations, this.nowMillis).place(step,
+		List<Host> sound = candidates.stream().filter((host) -> !held(step, 0, host)).toList();
+		Optional<Map<Integer, Host>> found = new GangPlacer(sound, this.reservations, this.nowMillis).place(step,
 				spread);
 		if (found.isPresent()) {
 			int run = step.step().nextGangRun();
@@ -167,6 +174,10 @@
 			}
 			else {
 				all = false;
+				if (step.avoid(index).isEmpty() && !this.moves.avoids(step.task(index), false)) {
+					// What has no room for this task has none for the others.
+					break;
+				}
 			}
 		}
 		if (!all) {
@@ -183,6 +194,7 @@
 			.filter((host) -> !host.reserved() || step.queue().priority() == 0)
 			.filter((host) -> this.reservations.admits(host, step, this.nowMillis))
 			.filter((host) -> step.avoid(index).filter(host.worker().life()::equals).isEmpty())
+			.filter((host) -> !held(step, index, host))
 			.filter((host) -> spec.mostOnOneWorker() == 0
 					|| sharing(step, host) + used.getOrDefault(host, 0) < spec.mostOnOneWorker())
 			.filter((host) -> !awaitRack || nearData(spec, host))
@@ -193,6 +205,10 @@
 				.thenComparingLong((host) -> host.free().cpuMillis()));
 	}
 
+	private boolean held(PendingStep step, int index, Host host) {
+		return this.moves.avoids(step.task(index), step.spec().gang(), host.worker().life(), this.nowNanos);
+	}
+
 	private static boolean nearData(StepSpec spec, Host host) {
 		return spec.dataRack().isEmpty() || spec.dataRack().get().equals(host.rack());
 	}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
@@ -17,8 +17,11 @@
  */
 final class Reservations {
 
-	/** More would leave too many workers idle. */
-	private static final int MOST = 3;
+	/** More than one gang for so many workers would leave too many of them idle. */
+	private static final int WORKERS_A_GANG = 20;
+
+	/** A small fleet keeps workers for so many gangs all the same. */
+	private static final int FEWEST_GANGS = 3;
 
 	private final Map<Host, Long> freeAtMillis = new HashMap<>();
 
@@ -31,7 +34,8 @@
 	 * @param nowMillis the time
 	 */
 	void keep(PendingStep step, Collection<Host> candidates, long nowMillis) {
-		if (this.kept >= MOST || Outlook.of(step, nowMillis) == Outlook.MISSED) {
+		int most = Math.max(FEWEST_GANGS, candidates.size() / WORKERS_A_GANG);
+		if (this.kept >= most || Outlook.of(step, nowMillis) == Outlook.MISSED) {
 			return;
 		}
 		Optional<Window> first = firstWindow(step, candidates, nowMillis);
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
@@ -292,4 +292,42 @@
 		assertThat(orders.stops()).containsExactly(new WorkerOrders.Stop(task(1, 1), 1));
 	}
 
+	private static ReportedRun at(int index, int percent) {
+		return new ReportedRun(task(1, index), 1, "", percent);
+	}
+
+	@Test
+	public void runThatStandsStillStartsAgainOnAnotherWorker() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		for (int report = 0; report < 5; report++) {
+			assertThat(report(ONE, List.of(at(0, 20))).stops()).as("after %d ms", this.nowMillis).isEmpty();
+			this.nowMillis += 250;
+		}
+		assertThat(report(ONE, List.of(at(0, 20))).stops()).containsExactly(new WorkerOrders.Stop(task(1, 0), 1));
+		report(ONE, List.of(), new ReportedEnd(1, task(1, 0), 1, RunEnd.STOPPED, ""));
+		assertThat(this.state.runsOn(ONE)).isEmpty();
+		assertThat(report(TWO, List.of()).starts()).extracting(WorkerOrders.Start::run).containsExactly(2);
+	}
+
+	@Test
+	public void runThatGetsOnIsLeftWhereItIs() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		for (int percent = 20; percent < 60; percent++) {
+			assertThat(report(ONE, List.of(at(0, percent))).stops()).isEmpty();
+			this.nowMillis += 250;
+		}
+	}
+
+	@Test
+	public void startThatNeverLeftIsWithdrawnFromASilentWorker() {
+		report(ONE, List.of());
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		place();
+		assertThat(this.state.runsOn(ONE)).hasSize(1);
+		this.nowMillis += 1300;
+		assertThat(report(TWO, List.of()).starts()).extracting(WorkerOrders.Start::run).containsExactly(2);
+	}
+
 }
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLines.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLines.java
@@ -57,6 +57,10 @@
 			case FleetNote.RunPreempted preempted ->
 				events.write(LogEvent.FLEET_RUN_PREEMPTED, new Field("job", preempted.task().job()),
 						new Field("task", text(preempted.task())), new Field("run", preempted.run()), inTerm);
+			case FleetNote.RunMoved moved ->
+				events.write(LogEvent.FLEET_RUN_MOVED, new Field("job", moved.task().job()),
+						new Field("task", text(moved.task())), new Field("run", moved.run()),
+						new Field("worker", moved.life().worker()), new Field("percent", moved.percent()), inTerm);
 			case FleetNote.JobWaits waits -> events.write(LogEvent.FLEET_JOB_WAITS, new Field("job", waits.job()),
 					new Field("step", waits.step()), new Field("tasks", waits.tasks()),
 					new Field("accelerators", waits.accelerators()), new Field("outlook", waits.outlook()), inTerm);
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -201,7 +201,11 @@
 
 	/** Jobs fail on a worker one after the other. */
 	FLEET_WORKER_SUSPECTED(6023, System.Logger.Level.WARNING,
-			"Several jobs failed on a worker in a row, so it gets nothing new for a while.", "Check the worker.");
+			"Several jobs failed on a worker in a row, so it gets nothing new for a while.", "Check the worker."),
+
+	/** A run stands still. */
+	FLEET_RUN_MOVED(6024, System.Logger.Level.WARNING,
+			"A run makes no progress and is stopped so that it starts again on another worker.", "Check the worker.");
 
 	private final int number;
 
