--- a/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
@@ -19,6 +19,8 @@
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.model.Revision;
 import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.MetricName;
+import io.verbenatrack.telemetry.Metrics;
 
 /**
  * A control replica of the fleet: the replicated log, the state and the leader's loop.
@@ -29,12 +31,12 @@
 
 	private final GrpcReplica replica;
 
-	private final FleetLoop loop;
+	private final FleetCaller caller;
 
-	private ControlInstance(Closer closer, GrpcReplica replica, FleetLoop loop) {
+	private ControlInstance(Closer closer, GrpcReplica replica, FleetCaller caller) {
 		this.closer = closer;
 		this.replica = replica;
-		this.loop = loop;
+		this.caller = caller;
 	}
 
 	/**
@@ -44,11 +46,12 @@
 	 * @param clock the monotonic clock
 	 * @param wallClock the time of day
 	 * @param events takes what operators want to know
+	 * @param metrics takes figures
 	 * @return the instance
 	 * @throws IOException when the data folder or the address cannot be used
 	 */
 	public static ControlInstance start(ReplicaSettings settings, FleetTimings timings, MonotonicClock clock,
-			InstantSource wallClock, EventLog events) throws IOException {
+			InstantSource wallClock, EventLog events, Metrics metrics) throws IOException {
 		Closer closer = new Closer();
 		try {
 			FleetCodec codec = new FleetCodec();
@@ -57,11 +60,14 @@
 					() -> new ConfigurationAuthority.Held(settings.clusterName(), Revision.NONE, ByteString.EMPTY),
 					new ReplicaEvents(events), clock));
 			FleetLoop loop = closer
-				.register(new FleetLoop(replica.replica(), machine, codec, timings, clock, wallClock, events));
+				.register(new FleetLoop(replica.replica(), machine, codec, timings, clock, wallClock, events, metrics));
+			FleetCaller caller = new MeasuredCaller(loop, metrics, clock);
+			metrics.gauge(MetricName.CONTROL_TERM, () -> replica.replica().term());
+			metrics.gauge(MetricName.CONTROL_LEADER, () -> replica.replica().leads() ? 1 : 0);
 			closer.register(new CallListener(new InetSocketAddress(settings.self().host(), settings.self().port()),
-					List.of(replica.service(), new FleetService(loop, new CallCodec()))));
+					List.of(replica.service(), new FleetService(caller, new CallCodec()))));
 			loop.start();
-			return new ControlInstance(closer, replica, loop);
+			return new ControlInstance(closer, replica, caller);
 		}
 		catch (IOException | RuntimeException ex) {
 			closer.close();
@@ -74,7 +80,7 @@
 	 * @return the leader's loop
 	 */
 	public FleetCaller caller() {
-		return this.loop;
+		return this.caller;
 	}
 
 	/**
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.Timer;
+
 import io.verbenatrack.control.Proposal;
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.fleet.call.FleetCall;
@@ -24,6 +26,8 @@
 import io.verbenatrack.model.ProblemKind;
 import io.verbenatrack.telemetry.EventLog;
 import io.verbenatrack.telemetry.LogEvent;
+import io.verbenatrack.telemetry.MetricName;
+import io.verbenatrack.telemetry.Metrics;
 
 /**
  * Decides on the fleet while this replica leads, in turns on a thread of its own.
@@ -63,6 +67,10 @@
 
 	private final EventLog events;
 
+	private final Metrics metrics;
+
+	private final Timer turns;
+
 	private final Thread thread;
 
 	private volatile boolean closed;
@@ -78,9 +86,10 @@
 	 * @param clock the monotonic clock
 	 * @param wallClock the time of day, for due times
 	 * @param events takes the decisions
+	 * @param metrics takes their number and how long they took
 	 */
 	public FleetLoop(ReplicatedLog log, FleetStateMachine machine, FleetCodec codec, FleetTimings timings,
-			MonotonicClock clock, InstantSource wallClock, EventLog events) {
+			MonotonicClock clock, InstantSource wallClock, EventLog events, Metrics metrics) {
 		this.log = log;
 		this.machine = machine;
 		this.codec = codec;
@@ -88,6 +97,8 @@
 		this.clock = clock;
 		this.wallClock = wallClock;
 		this.events = events;
+		this.metrics = metrics;
+		this.turns = metrics.histogram(MetricName.FLEET_TURN_TIME);
 		this.thread = Thread.ofPlatform().name("fleet").daemon().unstarted(this::run);
 	}
 
@@ -121,7 +132,9 @@
 					taken.add(first);
 					this.calls.drainTo(taken, CALLS_PER_TURN - 1);
 				}
+				long began = this.clock.nanoTime();
 				turn(taken);
+				this.turns.record(this.clock.nanoTime() - began, TimeUnit.NANOSECONDS);
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
@@ -206,7 +219,10 @@
 		};
 		if (outcome == Outcome.COMMITTED) {
 			present.sequence++;
-			commands.forEach((command) -> DecisionLines.write(this.events, present.term, command));
+			for (FleetCommand command : commands) {
+				DecisionLines.write(this.events, present.term, command);
+				this.metrics.counter(MetricName.FLEET_DECISIONS, command.getClass().getSimpleName()).increment();
+			}
 		}
 		else {
 			this.events.write(LogEvent.FLEET_COMMIT_FAILED, new EventLog.Field("term", present.term),
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
@@ -35,6 +35,7 @@
 import io.verbenatrack.model.WorkerId;
 import io.verbenatrack.model.ZoneId;
 import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.Metrics;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -65,7 +66,7 @@
 		this.loop = new FleetLoop(this.log, this.machine, this.codec,
 				new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250), Duration.ofSeconds(60),
 						Duration.ofMillis(200), Duration.ofMillis(500)),
-				MonotonicClock.system(), InstantSource.system(), EventLog.none());
+				MonotonicClock.system(), InstantSource.system(), EventLog.none(), new Metrics());
 		this.loop.start();
 		Queue queue = new Queue("q", "host", "/q/", SERVICE, 0, 1, 1, 1000, 3000, true);
 		call(new FleetCall.ChangeConfiguration(new FleetConfiguration(1, List.of(queue),
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
@@ -113,7 +113,23 @@
 	RING_LENGTH(Type.GAUGE, "verbenatrack.ring.length", "", "Items that wait in a ring between two threads.", "ring"),
 
 	/** Items refused since a ring was full. */
-	RING_REFUSALS(Type.COUNTER, "verbenatrack.ring.refusals", "", "Items refused since a ring was full.", "ring");
+	RING_REFUSALS(Type.COUNTER, "verbenatrack.ring.refusals", "", "Items refused since a ring was full.", "ring"),
+
+	/** Calls of callers, workers and operators to the fleet, by kind and reply. */
+	FLEET_CALLS(Type.COUNTER, "verbenatrack.fleet.calls", "",
+			"Calls of callers, workers and operators to the fleet, by kind and reply.", "call", "reply"),
+
+	/** Time from a call's arrival at this instance to its reply. */
+	FLEET_CALL_TIME(Type.HISTOGRAM, "verbenatrack.fleet.call.time", "seconds",
+			"Time from a call's arrival at this instance to its reply.", "call"),
+
+	/** Time of a turn of the fleet's leader, commits included. */
+	FLEET_TURN_TIME(Type.HISTOGRAM, "verbenatrack.fleet.turn.time", "seconds",
+			"Time of a turn of the fleet's leader, commits included."),
+
+	/** Committed decisions of the fleet's leader, by kind. */
+	FLEET_DECISIONS(Type.COUNTER, "verbenatrack.fleet.decisions", "",
+			"Committed decisions of the fleet's leader, by kind.", "decision");
 
 	private final Type type;
 
@@ -185,7 +201,10 @@
 		GAUGE,
 
 		/** Counts durations and adds them up. */
-		TIMER
+		TIMER,
+
+		/** Counts durations by buckets and adds them up. */
+		HISTOGRAM
 
 	}
 
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/Metrics.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/Metrics.java
@@ -1,6 +1,8 @@
 package io.verbenatrack.telemetry;
 
+import java.time.Duration;
 import java.util.function.DoubleSupplier;
+import java.util.stream.Stream;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
@@ -18,6 +20,11 @@
  */
 public final class Metrics implements AutoCloseable {
 
+	/** From a call that waits for nothing to one that waits out an election. */
+	private static final Duration[] BUCKETS = Stream.of(5, 20, 50, 100, 200, 500, 1000, 2000, 5000)
+		.map(Duration::ofMillis)
+		.toArray(Duration[]::new);
+
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
 	/**
@@ -47,6 +54,20 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Registers a timer that also counts durations by buckets.
+	 * @param name the metric
+	 * @param labelValues a value for each of its labels
+	 * @return the timer; the same one for the same values
+	 */
+	public Timer histogram(MetricName name, String... labelValues) {
+		return Timer.builder(name.meterName())
+			.description(name.description())
+			.serviceLevelObjectives(BUCKETS)
+			.tags(tags(name, MetricName.Type.HISTOGRAM, labelValues))
+			.register(this.registry);
+	}
+
 	/**
 	 * Registers a gauge.
 	 * @param name the metric
--- a/telemetry/src/test/java/io/verbenatrack/telemetry/MetricsTests.java
+++ b/telemetry/src/test/java/io/verbenatrack/telemetry/MetricsTests.java
@@ -65,6 +65,7 @@
 			case COUNTER -> metrics.counter(name, values).increment();
 			case GAUGE -> metrics.gauge(name, () -> 1, values);
 			case TIMER -> metrics.timer(name, values).record(Duration.ofSeconds(1));
+			case HISTOGRAM -> metrics.histogram(name, values).record(Duration.ofSeconds(1));
 		}
 	}
 
