Let founders that were killed before they formed a log form it when they start again

Cause: since MembershipPlan, replicas formed a log only when told that the system starts for the first time; but a process that is killed before there is a log starts again with settings that deny it. Change: such a replica forms a log after 5 s in which no leader called it by any name it had. A cluster whose founders lost their disks goes on calling them, so that no second one is formed beside it.

--- a/control/src/main/java/io/verbenatrack/control/MembershipPlan.java
+++ b/control/src/main/java/io/verbenatrack/control/MembershipPlan.java
@@ -7,9 +7,10 @@
  *
  * @param voters how many voters a cluster grows to while learners are there; 2 f + 1 bear
  * the loss of f
- * @param mayForm whether this replica may form a new cluster with the other founders;
- * only while no cluster has ever been formed, since founders that all lost their disks
- * would form a second one beside what is left of the first
+ * @param mayForm whether no cluster has ever been formed, so that this replica may form
+ * one with the other founders at once; otherwise it does so only when no cluster calls
+ * it, since founders that all lost their disks would form a second one beside what is
+ * left of the first
  * @param replaceAfter how long a voter may be silent before a learner that caught up
  * takes its place
  */
--- a/control/src/main/java/io/verbenatrack/control/replica/Formation.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/Formation.java
@@ -26,6 +26,9 @@
 
 	private static final long FIRST_TERM = 1;
 
+	/** A leader calls each member ten times a second, also one that stays silent. */
+	private static final long UNHEARD_NANOS = Duration.ofSeconds(5).toNanos();
+
 	/** Several elections; a member that is still in its place was called by then. */
 	private static final long STRANDED_NANOS = Duration.ofSeconds(3).toNanos();
 
@@ -37,12 +40,17 @@
 
 	private long announcedNanos;
 
+	private final long startedNanos;
+
+	private boolean clusterHeard;
+
 	private boolean announced;
 
 	private boolean forming;
 
 	Formation(ReplicaState state) {
 		this.state = state;
+		this.startedNanos = state.now;
 	}
 
 	void tick() {
@@ -103,7 +111,7 @@
 	private void formWhenReady() {
 		var founders = this.state.configuration.founders();
 		String first = founders.stream().map(ReplicaMember::getInstance).sorted().findFirst().orElse("");
-		if (!this.state.configuration.membership().mayForm()) {
+		if (!mayForm()) {
 			return;
 		}
 		boolean allReady = founders.stream()
@@ -113,6 +121,22 @@
 		}
 	}
 
+	// Founders that were killed before they formed a cluster start again like founders
+	// that lost their disks. If there is a cluster, its leader goes on calling the
+	// replicas that they were.
+	private boolean mayForm() {
+		return this.state.configuration.membership().mayForm()
+				|| (!this.clusterHeard && this.state.now - this.startedNanos >= UNHEARD_NANOS);
+	}
+
+	/**
+	 * Takes note that there is a cluster which knows this replica by another name.
+	 * @param message a message to another incarnation of this replica
+	 */
+	void misaddressed(ReplicaMessage message) {
+		this.clusterHeard |= message.getCluster().startsWith(this.state.configuration.clusterName() + "-");
+	}
+
 	private void form() {
 		Membership.Builder membership = Membership.newBuilder();
 		for (ReplicaMember founder : this.state.configuration.founders()) {
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
@@ -187,7 +187,11 @@
 			receiveAnnouncement(message);
 			return;
 		}
-		if (!message.getTo().equals(this.state.self.text()) || !sameCluster(message)) {
+		if (!message.getTo().equals(this.state.self.text())) {
+			this.formation.misaddressed(message);
+			return;
+		}
+		if (!sameCluster(message)) {
 			return;
 		}
 		if (message.hasVoteRequest() && this.elections.standsByLeader(message.getVoteRequest())) {
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
@@ -321,6 +321,10 @@
 
 	private void startFirstFounder(boolean mayForm) {
 		start(new MembershipPlan(3, mayForm, Duration.ofSeconds(8)), RecoveredLog.EMPTY);
+		announceFounders();
+	}
+
+	private void announceFounders() {
 		for (String founder : List.of("b", "c")) {
 			run(new ReplicaEvent.Received(ReplicaMessage.newBuilder()
 				.setFrom(founder + "/1")
@@ -337,9 +341,21 @@
 	}
 
 	@Test
-	public void foundersThatLostTheirDisksFormNoSecondCluster() {
+	public void foundersThatLostTheirDisksFormNoSecondClusterWhileTheFirstCallsThem() {
+		startFirstFounder(false);
+		receive(from("d", 9).setTo("a/0").setAppendRequest(AppendRequest.getDefaultInstance()));
+		this.now += 6 * SECOND;
+		announceFounders();
+		assertThat(this.core.membership().getVotersCount()).isZero();
+	}
+
+	@Test
+	public void foundersThatWereKilledBeforeTheyFormedAClusterFormItLater() {
 		startFirstFounder(false);
 		assertThat(this.core.membership().getVotersCount()).isZero();
+		this.now += 6 * SECOND;
+		announceFounders();
+		assertThat(this.core.membership().getVotersCount()).isEqualTo(3);
 	}
 
 }
