--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
@@ -131,6 +131,7 @@
 	 */
 	public List<FleetCommand> lostRuns(long nowNanos) {
 		List<FleetCommand> commands = new ArrayList<>();
+		Duration silence = this.timings.workerSilence(this.board.workers().size());
 		for (WorkerLife life : this.state.livesInUse()) {
 			Optional<KnownWorker> known = this.board.worker(life);
 			if (this.board.dead(life, nowNanos)) {
@@ -138,7 +139,7 @@
 					.forEach((task, run) -> commands.add(new FleetCommand.EndRun(task, run, life, RunEnd.LOST,
 							known.map((worker) -> worker.checkpoint(task, run)).orElse(""))));
 			}
-			else if (known.filter((worker) -> worker.reachable(nowNanos, this.timings.workerSilence())).isEmpty()) {
+			else if (known.filter((worker) -> worker.reachable(nowNanos, silence)).isEmpty()) {
 				withdraw(life, commands);
 			}
 		}
@@ -239,7 +240,7 @@
 			.filter((known) -> known.report() == report)
 			.orElse(null);
 		if (worker == null) {
-			return new WorkerOrders(0, 0, this.term, List.of(), List.of(), this.timings.report().toMillis());
+			return new WorkerOrders(0, 0, this.term, List.of(), List.of(), reportMillis());
 		}
 		this.board.extendLease(worker);
 		long takenNote = report.ended().stream().mapToLong(ReportedEnd::number).max().orElse(0);
@@ -261,8 +262,11 @@
 				stops.add(new WorkerOrders.Stop(running.task(), running.run()));
 			}
 		}
-		return new WorkerOrders(this.timings.lease().toMillis(), takenNote, this.term, starts, stops,
-				this.timings.report().toMillis());
+		return new WorkerOrders(this.timings.lease().toMillis(), takenNote, this.term, starts, stops, reportMillis());
+	}
+
+	private long reportMillis() {
+		return this.timings.report(this.board.workers().size()).toMillis();
 	}
 
 	// The members of a gang end together; once one end is known the others need no stop.
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -1,5 +1,6 @@
 package io.verbenatrack.fleet.policy;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -66,8 +67,9 @@
 		this.timings = timings;
 		this.nowNanos = nowNanos;
 		this.nowMillis = nowMillis;
+		Duration silence = timings.workerSilence(board.workers().size());
 		for (KnownWorker worker : board.workers()) {
-			if (worker.usable(nowNanos, timings.workerSilence())) {
+			if (worker.usable(nowNanos, silence)) {
 				this.hosts.computeIfAbsent(worker.report().service(), (service) -> new ArrayList<>()).add(host(worker));
 				this.rackSizes.merge(worker.report().rack(), 1, Integer::sum);
 			}
