Move a run that stands still twice at most

Change: RunMoves counts moves of a task or gang; after two the task itself counts as the cause. Figures: FleetLeaderTests.taskThatStandsStillOnEveryWorkerIsNotMovedWithoutEnd, 2 moves in 40 s.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/RunMoves.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/RunMoves.java
@@ -36,6 +36,9 @@
 	 */
 	private static final double MOST_SUSPECTS = 0.25;
 
+	/** A task that stands still on so many workers in turn is itself the cause. */
+	private static final int MOST_MOVES = 2;
+
 	private final FleetState state;
 
 	private final WorkerBoard board;
@@ -45,6 +48,9 @@
 	/** The runs that are to stop, by their number. */
 	private final Map<TaskId, Integer> moving = new HashMap<>();
 
+	/** How often a task, or a gang by its first member, was moved. */
+	private final Map<TaskId, Integer> moveCounts = new HashMap<>();
+
 	private final Map<TaskId, Map<WorkerLife, Long>> avoidedUntil = new HashMap<>();
 
 	RunMoves(FleetState state, WorkerBoard board) {
@@ -67,7 +73,9 @@
 				continue;
 			}
 			boolean near = near(run.task(), step.get());
-			if (this.watch.heldUp(run, step.get().spec(), near, nowNanos) && trustworthy(nowNanos)) {
+			TaskId owner = owner(run.task(), step.get().spec().gang());
+			if (this.watch.heldUp(run, step.get().spec(), near, nowNanos) && trustworthy(nowNanos)
+					&& this.moveCounts.merge(owner, 1, Integer::sum) <= MOST_MOVES) {
 				move(run, step.get(), worker, nowNanos);
 				notes.add(new FleetNote.RunMoved(run.task(), run.run(), worker.life(), run.percent()));
 			}
@@ -160,6 +168,7 @@
 	 */
 	void tidy(long nowNanos) {
 		this.moving.keySet().removeIf((task) -> !moves(task));
+		this.moveCounts.keySet().removeIf((task) -> this.state.step(task).filter((step) -> !step.done()).isEmpty());
 		this.avoidedUntil.values().removeIf((lives) -> {
 			lives.values().removeIf((until) -> nowNanos - until >= 0);
 			return lives.isEmpty();
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetLeaderTests.java
@@ -320,6 +320,24 @@
 		}
 	}
 
+	@Test
+	public void taskThatStandsStillOnEveryWorkerIsNotMovedWithoutEnd() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		int moves = 0;
+		for (int round = 0; round < 200; round++) {
+			for (WorkerLife life : List.of(ONE, TWO)) {
+				List<ReportedRun> running = new ArrayList<>();
+				this.state.runsOn(life).forEach((task, run) -> running.add(new ReportedRun(task, run, "", 0)));
+				for (WorkerOrders.Stop stop : report(life, running).stops()) {
+					moves++;
+					report(life, List.of(), new ReportedEnd(moves, stop.task(), stop.run(), RunEnd.STOPPED, ""));
+				}
+			}
+			this.nowMillis += 200;
+		}
+		assertThat(moves).isEqualTo(2);
+	}
+
 	@Test
 	public void startThatNeverLeftIsWithdrawnFromASilentWorker() {
 		report(ONE, List.of());
