Name what avoids, and keep one check of a run's being under way

Cause, found on reading the diff as a newcomer: FleetLeader and RunMoves both asked whether a run is its task's present one; two methods called avoids differed in what they ask; two constants were named by phrases. Change: FleetState.underWay, RunMoves.avoidsAny, WORKERS_PER_GANG, REPORT_PER_WORKER. No decision changes.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetLeader.java
@@ -158,13 +158,6 @@
 		});
 	}
 
-	private boolean underWay(TaskId task, int run) {
-		return this.state.step(task)
-			.map((step) -> step.tasks().get(task.index()))
-			.filter((present) -> present.run() == run && present.runningOn().isPresent())
-			.isPresent();
-	}
-
 	private boolean unsent(TaskId task, int run) {
 		return Integer.valueOf(run).equals(this.unsent.get(task));
 	}
@@ -177,7 +170,7 @@
 	 */
 	public List<FleetCommand> place(long nowNanos, long nowMillis) {
 		this.moves.tidy(nowNanos);
-		this.unsent.entrySet().removeIf((start) -> !underWay(start.getKey(), start.getValue()));
+		this.unsent.entrySet().removeIf((start) -> !this.state.underWay(start.getKey(), start.getValue()));
 		PlacementPass pass = new PlacementPass(this.state, this.board, this.timings, this.moves, this.preempted,
 				nowNanos, nowMillis);
 		pass.run();
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
@@ -29,7 +29,7 @@
 	private static final Duration REPORT = Duration.ofMillis(200);
 
 	/** A leader with 1.2 cores takes 1,000 reports a second beside its decisions. */
-	private static final Duration REPORT_FOR_EACH_WORKER = Duration.ofMillis(1);
+	private static final Duration REPORT_PER_WORKER = Duration.ofMillis(1);
 
 	/** A worker counts as silent when it missed more reports than this. */
 	private static final int MISSED_REPORTS = 3;
@@ -55,7 +55,7 @@
 	 * @return the pause between two reports of one worker
 	 */
 	public Duration report(int workers) {
-		return longer(this.report, REPORT_FOR_EACH_WORKER.multipliedBy(workers));
+		return longer(this.report, REPORT_PER_WORKER.multipliedBy(workers));
 	}
 
 	/**
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -150,7 +150,7 @@
 
 	private void placeGang(PendingStep step, Collection<Host> candidates) {
 		boolean spread = step.queue().priority() == 0 && waitedMillis(step) > SPREAD_MILLIS;
-		List<Host> sound = candidates.stream().filter((host) -> !held(step, 0, host)).toList();
+		List<Host> sound = candidates.stream().filter((host) -> !avoided(step, 0, host)).toList();
 		Optional<Map<Integer, Host>> found = new GangPlacer(sound, this.reservations, this.nowMillis).place(step,
 				spread);
 		if (found.isPresent()) {
@@ -176,7 +176,7 @@
 			}
 			else {
 				all = false;
-				if (step.avoid(index).isEmpty() && !this.moves.avoids(step.task(index), false)) {
+				if (step.avoid(index).isEmpty() && !this.moves.avoidsAny(step.task(index), false)) {
 					// What has no room for this task has none for the others.
 					break;
 				}
@@ -196,7 +196,7 @@
 			.filter((host) -> !host.reserved() || step.queue().priority() == 0)
 			.filter((host) -> this.reservations.admits(host, step, this.nowMillis))
 			.filter((host) -> step.avoid(index).filter(host.worker().life()::equals).isEmpty())
-			.filter((host) -> !held(step, index, host))
+			.filter((host) -> !avoided(step, index, host))
 			.filter((host) -> spec.mostOnOneWorker() == 0
 					|| sharing(step, host) + used.getOrDefault(host, 0) < spec.mostOnOneWorker())
 			.filter((host) -> !awaitRack || nearData(spec, host))
@@ -207,7 +207,7 @@
 				.thenComparingLong((host) -> host.free().cpuMillis()));
 	}
 
-	private boolean held(PendingStep step, int index, Host host) {
+	private boolean avoided(PendingStep step, int index, Host host) {
 		return this.moves.avoids(step.task(index), step.spec().gang(), host.worker().life(), this.nowNanos);
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
@@ -18,7 +18,7 @@
 final class Reservations {
 
 	/** More than one gang for so many workers would leave too many of them idle. */
-	private static final int WORKERS_A_GANG = 20;
+	private static final int WORKERS_PER_GANG = 20;
 
 	/** A small fleet keeps workers for so many gangs all the same. */
 	private static final int FEWEST_GANGS = 3;
@@ -34,7 +34,7 @@
 	 * @param nowMillis the time
 	 */
 	void keep(PendingStep step, Collection<Host> candidates, long nowMillis) {
-		int most = Math.max(FEWEST_GANGS, candidates.size() / WORKERS_A_GANG);
+		int most = Math.max(FEWEST_GANGS, candidates.size() / WORKERS_PER_GANG);
 		if (this.kept >= most || Outlook.of(step, nowMillis) == Outlook.MISSED) {
 			return;
 		}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/RunMoves.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/RunMoves.java
@@ -133,10 +133,7 @@
 	 */
 	boolean moves(TaskId task) {
 		Integer run = this.moving.get(task);
-		return run != null && this.state.step(task)
-			.map((step) -> step.tasks().get(task.index()))
-			.filter((present) -> present.run() == run && present.runningOn().isPresent())
-			.isPresent();
+		return run != null && this.state.underWay(task, run);
 	}
 
 	/**
@@ -158,7 +155,7 @@
 	 * @param gang whether it is a member of a gang
 	 * @return whether some worker held it up a short while ago
 	 */
-	boolean avoids(TaskId task, boolean gang) {
+	boolean avoidsAny(TaskId task, boolean gang) {
 		return this.avoidedUntil.containsKey(owner(task, gang));
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -139,6 +139,18 @@
 		return step(end.task()).filter((step) -> step.runs(end.task().index(), end.run(), end.life())).isPresent();
 	}
 
+	/**
+	 * Whether a run is its task's present one.
+	 * @param task the task
+	 * @param run the number of the run
+	 * @return whether it was started and its end is not known yet
+	 */
+	public boolean underWay(TaskId task, int run) {
+		return step(task).map((step) -> step.tasks().get(task.index()))
+			.filter((present) -> present.run() == run && present.runningOn().isPresent())
+			.isPresent();
+	}
+
 	/**
 	 * The step of a task.
 	 * @param task the task
