Decide on voters in control, and look meters up once

Change: MembershipPlan.bearing holds both decisions; MeasuredCaller and FleetLoop keep the meters they were given. No behaviour changes.

--- a/control/src/main/java/io/verbenatrack/control/MembershipPlan.java
+++ b/control/src/main/java/io/verbenatrack/control/MembershipPlan.java
@@ -19,6 +19,14 @@
 	/** Three replicas, the fewest of which one may be lost. */
 	public static final MembershipPlan DEFAULT = new MembershipPlan(3, true, Duration.ofSeconds(8));
 
+	/**
+	 * A voter gives way within this part of the time allowed for catching up, so that its
+	 * successor votes before the next loss has to be borne.
+	 */
+	private static final double REPLACE_PART = 0.6;
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
 	public MembershipPlan {
 		if (voters < 1 || voters % 2 == 0) {
 			throw new IllegalArgumentException(
@@ -26,4 +34,16 @@
 		}
 	}
 
+	/**
+	 * A plan for a deployment.
+	 * @param losses how many replicas may be lost at once, one at least
+	 * @param mayForm whether no cluster has ever been formed
+	 * @param catchUpSeconds how long after a loss the next one has to be borne
+	 * @return the plan
+	 */
+	public static MembershipPlan bearing(long losses, boolean mayForm, double catchUpSeconds) {
+		Duration replaceAfter = Duration.ofMillis(Math.round(catchUpSeconds * REPLACE_PART * MILLIS_PER_SECOND));
+		return new MembershipPlan((int) (2 * Math.max(1, losses) + 1), mayForm, replaceAfter);
+	}
+
 }
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -3,13 +3,16 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Timer;
 
 import io.verbenatrack.control.Proposal;
@@ -71,6 +74,8 @@
 
 	private final Timer turns;
 
+	private final Map<Class<?>, Counter> decisions = new HashMap<>();
+
 	private final Thread thread;
 
 	private volatile boolean closed;
@@ -221,7 +226,10 @@
 			present.sequence++;
 			for (FleetCommand command : commands) {
 				DecisionLines.write(this.events, present.term, command);
-				this.metrics.counter(MetricName.FLEET_DECISIONS, command.getClass().getSimpleName()).increment();
+				this.decisions
+					.computeIfAbsent(command.getClass(),
+							(kind) -> this.metrics.counter(MetricName.FLEET_DECISIONS, kind.getSimpleName()))
+					.increment();
 			}
 		}
 		else {
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/MeasuredCaller.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/MeasuredCaller.java
@@ -1,9 +1,14 @@
 package io.verbenatrack.fleetd;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Timer;
+
 import io.verbenatrack.fleet.call.FleetCall;
 import io.verbenatrack.fleet.call.FleetReply;
 import io.verbenatrack.model.MonotonicClock;
@@ -21,6 +26,10 @@
 
 	private final MonotonicClock clock;
 
+	private final Map<Answered, Counter> counters = new ConcurrentHashMap<>();
+
+	private final Map<String, Timer> timers = new ConcurrentHashMap<>();
+
 	/**
 	 * Measures a caller.
 	 * @param answering answers the calls
@@ -38,11 +47,20 @@
 		long arrived = this.clock.nanoTime();
 		String kind = call.getClass().getSimpleName();
 		return this.answering.call(call, patience).thenApply((reply) -> {
-			this.metrics.counter(MetricName.FLEET_CALLS, kind, reply.getClass().getSimpleName()).increment();
-			this.metrics.histogram(MetricName.FLEET_CALL_TIME, kind)
+			counter(new Answered(kind, reply.getClass().getSimpleName())).increment();
+			this.timers.computeIfAbsent(kind, (name) -> this.metrics.histogram(MetricName.FLEET_CALL_TIME, name))
 				.record(this.clock.nanoTime() - arrived, TimeUnit.NANOSECONDS);
 			return reply;
 		});
 	}
 
+	private Counter counter(Answered answered) {
+		return this.counters.computeIfAbsent(answered,
+				(key) -> this.metrics.counter(MetricName.FLEET_CALLS, key.call(), key.reply()));
+	}
+
+	private record Answered(String call, String reply) {
+
+	}
+
 }
