Log calls without a reply, lost responses and threads that end

FLEET_CALL_OVERDUE tells "received, never answered", FLEET_RESPONSE_LOST "answered but lost"; without either and without FLEET_CALL_ANSWERED the call was not received in full. THREAD_ENDED names each thread that ended. The gauges fleet.calls.open and control.halted show a leak of calls and a halted replica.

--- a/control/src/main/java/io/verbenatrack/control/driver/Replica.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/Replica.java
@@ -208,6 +208,14 @@
 		return this.applyDuty.appliedIndex();
 	}
 
+	/**
+	 * Returns whether a thread of this replica failed or the replica was closed.
+	 * @return whether it takes no further part in the cluster
+	 */
+	public boolean halted() {
+		return this.halted;
+	}
+
 	/**
 	 * Returns the identifier of this replica.
 	 * @return the identifier
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
@@ -65,6 +65,7 @@
 			FleetClient client = new MeteredFleetClient(loop, metrics, clock);
 			metrics.gauge(MetricName.CONTROL_TERM, () -> replica.replica().term());
 			metrics.gauge(MetricName.CONTROL_LEADER, () -> replica.replica().leads() ? 1 : 0);
+			metrics.gauge(MetricName.CONTROL_HALTED, () -> replica.replica().halted() ? 1 : 0);
 			closer.register(new GrpcServer(new InetSocketAddress(settings.self().host(), settings.self().port()),
 					List.of(replica.service(), new FleetService(client, new CallCodec()))));
 			loop.start();
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/MeteredFleetClient.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/MeteredFleetClient.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Timer;
@@ -30,6 +31,8 @@
 
 	private final Map<String, Timer> timers = new ConcurrentHashMap<>();
 
+	private final AtomicInteger open = new AtomicInteger();
+
 	/**
 	 * Creates a client that delegates to another one.
 	 * @param delegate sends the calls
@@ -40,13 +43,16 @@
 		this.delegate = delegate;
 		this.metrics = metrics;
 		this.clock = clock;
+		metrics.gauge(MetricName.FLEET_CALLS_OPEN, this.open::get);
 	}
 
 	@Override
 	public CompletableFuture<FleetReply> call(FleetCall call, Duration timeout) {
 		long startedNanos = this.clock.nanoTime();
 		String kind = call.getClass().getSimpleName();
+		this.open.incrementAndGet();
 		return this.delegate.call(call, timeout).thenApply((reply) -> {
+			this.open.decrementAndGet();
 			counter(new CounterKey(kind, reply.getClass().getSimpleName())).increment();
 			this.timers.computeIfAbsent(kind, (name) -> this.metrics.histogram(MetricName.FLEET_CALL_TIME, name))
 				.record(this.clock.nanoTime() - startedNanos, TimeUnit.NANOSECONDS);
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -71,6 +71,10 @@
 			"A thread caught an unexpected error and continues with the next item.",
 			"Report it with the fields of this event."),
 
+	/** A thread ended because of an unexpected error. */
+	THREAD_ENDED(1051, System.Logger.Level.ERROR, "A thread ended because of an unexpected error.",
+			"Report it with the fields of this event; restart the instance if it keeps running."),
+
 	/** A span ended and is exported to the log. */
 	TRACE_SPAN(1900, System.Logger.Level.INFO, "A span ended.",
 			"Nothing to do; set telemetry.traces to none to disable these events."),
@@ -214,7 +218,16 @@
 
 	/** A run makes no progress. */
 	FLEET_RUN_MOVED(6024, System.Logger.Level.WARNING,
-			"A run makes no progress and is stopped, to be restarted on another worker.", "Check the worker.");
+			"A run makes no progress and is stopped, to be restarted on another worker.", "Check the worker."),
+
+	/** A call that was received got no reply by its deadline. */
+	FLEET_CALL_OVERDUE(6025, System.Logger.Level.ERROR,
+			"A call that was received got no reply by its deadline, or its reply failed.",
+			"Report it with the fields of this event and the log of the leader."),
+
+	/** A response could not be written to its caller. */
+	FLEET_RESPONSE_LOST(6026, System.Logger.Level.WARNING, "A response could not be written to its caller.",
+			"Check the network connections to callers if this repeats.");
 
 	private final int number;
 
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
@@ -99,6 +99,10 @@
 	CONTROL_LEADER(Type.GAUGE, "verbenatrack.control.leader", "",
 			"1 while this instance leads the control log, else 0."),
 
+	/** 1 if a thread of the replica failed, otherwise 0. */
+	CONTROL_HALTED(Type.GAUGE, "verbenatrack.control.halted", "",
+			"1 once a thread of this replica failed, so that it takes no further part, else 0."),
+
 	/** Time from a proposal to its commit. */
 	CONTROL_COMMIT_TIME(Type.TIMER, "verbenatrack.control.commit.time", "seconds",
 			"Time from a proposal to its commit."),
@@ -119,6 +123,10 @@
 	FLEET_CALLS(Type.COUNTER, "verbenatrack.fleet.calls", "",
 			"Calls of callers, workers and operators to the fleet, by kind and reply.", "call", "reply"),
 
+	/** Calls that have no reply yet. */
+	FLEET_CALLS_OPEN(Type.GAUGE, "verbenatrack.fleet.calls.open", "",
+			"Calls received that have no reply yet; a floor that rises shows calls that are never answered."),
+
 	/** Time from a call's arrival at this instance to its reply. */
 	FLEET_CALL_TIME(Type.HISTOGRAM, "verbenatrack.fleet.call.time", "seconds",
 			"Time from a call's arrival at this instance to its reply.", "call"),
