Add failing tests for calls that get no answer

- no reply within 5 s after an Error in the thread of the fleet or of the state machine, or when leadership ends while a commit never completes
- a call that throws, or that is too large for the log, makes the other calls of its turn fail and begins the term again

--- a/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
+++ b/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
@@ -17,6 +17,7 @@
 import io.verbenatrack.control.ReplicaPeer;
 import io.verbenatrack.control.ReplicaSettings;
 import io.verbenatrack.control.ReplicaTimings;
+import io.verbenatrack.control.StateMachine;
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.MonotonicClock;
 
@@ -38,7 +39,7 @@
 		this.folder = Files.createTempDirectory("replica");
 	}
 
-	private Replica start(AppendingStateMachine machine, ReplicaLimits limits) throws IOException {
+	private Replica start(StateMachine machine, ReplicaLimits limits) throws IOException {
 		ReplicaSettings settings = new ReplicaSettings("test", SELF, List.of(SELF), this.folder, ReplicaTimings.DEFAULT,
 				limits, MembershipPolicy.DEFAULT, true);
 		Replica replica = Replica.start(settings, machine, ReplicaTransport.none(), (notice, detail) -> {
@@ -114,4 +115,33 @@
 		}
 	}
 
+	// Guards against a replica that keeps leading after an Error ended one of its
+	// threads.
+	@Test(groups = "known-red")
+	public void errorInStateMachineHaltsReplica() throws Exception {
+		StateMachine failing = new StateMachine() {
+
+			@Override
+			public byte[] apply(long index, byte[] command) {
+				throw new StackOverflowError("test");
+			}
+
+			@Override
+			public byte[] snapshot() {
+				return new byte[0];
+			}
+
+			@Override
+			public void restore(byte[] snapshot) {
+				// Nothing to restore.
+			}
+
+		};
+		try (Replica replica = start(failing, ReplicaLimits.DEFAULT)) {
+			assertThat(propose(replica, "a")).isEqualTo(new ProposalOutcome.Unknown());
+			assertThat(replica.leads()).isFalse();
+			assertThat(replica.halted()).isTrue();
+		}
+	}
+
 }
--- /dev/null
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
@@ -0,0 +1,227 @@
+package io.verbenatrack.fleetd;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.verbenatrack.control.ProposalOutcome;
+import io.verbenatrack.control.ReplicatedLog;
+import io.verbenatrack.fleet.call.FleetCall;
+import io.verbenatrack.fleet.call.FleetReply;
+import io.verbenatrack.fleet.model.CallLimits;
+import io.verbenatrack.fleet.model.FleetConfiguration;
+import io.verbenatrack.fleet.model.JobPlan;
+import io.verbenatrack.fleet.model.Queue;
+import io.verbenatrack.fleet.model.Resources;
+import io.verbenatrack.fleet.model.StepSpec;
+import io.verbenatrack.fleet.model.WorkerPool;
+import io.verbenatrack.fleet.policy.FleetTimings;
+import io.verbenatrack.fleet.state.FleetBatch;
+import io.verbenatrack.fleet.state.FleetCodec;
+import io.verbenatrack.fleet.state.FleetCommand;
+import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.Problem;
+import io.verbenatrack.model.ProblemKind;
+import io.verbenatrack.model.ServiceId;
+import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.LogEvent;
+import io.verbenatrack.telemetry.Metrics;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link FleetLoop}: a call that fails harms no other call, and each call is
+ * answered.
+ */
+public class FleetLoopFailureTests {
+
+	private static final ServiceId SERVICE = new ServiceId("service");
+
+	/** A call that cannot be decided: it has no origin. */
+	private static final FleetCall FAILING = new FleetCall.AskState(null);
+
+	private final FleetCodec codec = new FleetCodec();
+
+	private final AtomicInteger terms = new AtomicInteger();
+
+	private FleetStateMachine stateMachine;
+
+	private ScriptedLog log;
+
+	private FleetLoop loop;
+
+	@BeforeMethod
+	void startLoop() throws Exception {
+		this.terms.set(0);
+		this.stateMachine = new FleetStateMachine(this.codec);
+		this.log = new ScriptedLog();
+		EventLog events = (event, fields) -> {
+			if (event == LogEvent.FLEET_LEADER_BEGAN) {
+				this.terms.incrementAndGet();
+			}
+		};
+		this.loop = new FleetLoop(this.log, this.stateMachine, this.codec,
+				new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250), Duration.ofSeconds(60),
+						Duration.ofMillis(200), Duration.ofMillis(500)),
+				MonotonicClock.system(), InstantSource.system(), events, new Metrics());
+		this.loop.start();
+		assertThat(reply(call(configuration(1)))).isEqualTo(new FleetReply.Stored());
+	}
+
+	@AfterMethod
+	void stop() {
+		this.loop.close();
+	}
+
+	private static FleetCall configuration(long version) {
+		Queue queue = new Queue("q", "host", "/q/", SERVICE, 0, 1, 1, 1000, 3000, true);
+		return new FleetCall.ChangeConfiguration(new FleetConfiguration(version, List.of(queue),
+				List.of(new WorkerPool(SERVICE, true)), new CallLimits(1, 1, 1, 1), List.of()), new byte[0]);
+	}
+
+	private static FleetCall submit(String job) {
+		StepSpec step = new StepSpec(1, new Resources(1, 1, 1), 1000, List.of(), false, false, Optional.empty(),
+				Optional.empty(), 0, false, false, false);
+		return new FleetCall.SubmitJob(new FleetCall.Origin("host", "/q/" + job, ""),
+				new JobPlan("payload", List.of(step), 0, 0, 1));
+	}
+
+	private CompletableFuture<FleetReply> call(FleetCall call) {
+		return this.loop.call(call, Duration.ofSeconds(5));
+	}
+
+	private static FleetReply reply(CompletableFuture<FleetReply> reply) throws Exception {
+		return reply.get(5, TimeUnit.SECONDS);
+	}
+
+	// Holds the loop in a commit, so that the calls made meanwhile share the next turn.
+	private CompletableFuture<Void> holdLoop() throws Exception {
+		CompletableFuture<Void> gate = new CompletableFuture<>();
+		CompletableFuture<Void> held = new CompletableFuture<>();
+		this.log.script = (command) -> {
+			this.log.script = this.log::commit;
+			held.complete(null);
+			return gate.thenCompose((opened) -> this.log.commit(command));
+		};
+		call(submit("00000000000000aa"));
+		held.get(5, TimeUnit.SECONDS);
+		return gate;
+	}
+
+	// Guards against one call that throws and makes all calls of its turn fail.
+	@Test(groups = "known-red")
+	public void callThatThrowsFailsAlone() throws Exception {
+		CompletableFuture<Void> gate = holdLoop();
+		CompletableFuture<FleetReply> failing = call(FAILING);
+		CompletableFuture<FleetReply> other = call(submit("00000000000000bb"));
+		gate.complete(null);
+		assertThat(reply(other)).isEqualTo(new FleetReply.Stored());
+		assertThat(reply(failing)).isInstanceOf(FleetReply.Refused.class);
+		assertThat(this.terms).hasValue(1);
+	}
+
+	// Guards against one call too large for the log that makes all calls of its turn
+	// fail.
+	@Test(groups = "known-red")
+	public void callTooLargeToStoreFailsAlone() throws Exception {
+		CompletableFuture<Void> gate = holdLoop();
+		this.log.script = (command) -> {
+			boolean tooLarge = this.codec.batch(command)
+				.commands()
+				.stream()
+				.anyMatch(FleetCommand.AdoptConfiguration.class::isInstance);
+			return tooLarge
+					? CompletableFuture.completedFuture(new ProposalOutcome.Refused(new Problem(ProblemKind.TOO_LARGE,
+							"The command is too large for the log.", "Send a smaller one.")))
+					: this.log.commit(command);
+		};
+		CompletableFuture<FleetReply> large = call(configuration(2));
+		CompletableFuture<FleetReply> other = call(submit("00000000000000bb"));
+		gate.complete(null);
+		assertThat(reply(other)).isEqualTo(new FleetReply.Stored());
+		assertThat(reply(large)).isInstanceOf(FleetReply.Invalid.class);
+		assertThat(this.terms).hasValue(1);
+	}
+
+	// Guards against calls that wait for ever for a proposal that is never completed.
+	@Test(groups = "known-red")
+	public void callsAreAnsweredWhenLeadershipEndsDuringCommit() throws Exception {
+		CompletableFuture<Void> proposed = new CompletableFuture<>();
+		this.log.script = (command) -> {
+			proposed.complete(null);
+			return new CompletableFuture<>();
+		};
+		CompletableFuture<FleetReply> committing = call(submit("00000000000000aa"));
+		proposed.get(5, TimeUnit.SECONDS);
+		CompletableFuture<FleetReply> queued = call(new FleetCall.Probe());
+		this.log.leading = false;
+		assertThat(reply(committing)).isEqualTo(new FleetReply.OutcomeUnknown());
+		assertThat(reply(queued)).isInstanceOf(FleetReply.NotLeading.class);
+	}
+
+	// Guards against calls that wait for ever once an Error has ended the thread.
+	@Test(groups = "known-red")
+	public void callsAreAnsweredAfterError() throws Exception {
+		this.log.script = (command) -> {
+			throw new StackOverflowError("test");
+		};
+		assertThat(reply(call(submit("00000000000000aa")))).isEqualTo(new FleetReply.OutcomeUnknown());
+		assertThat(reply(call(new FleetCall.Probe()))).isNotNull();
+	}
+
+	/** A log whose outcomes a test chooses. */
+	private final class ScriptedLog implements ReplicatedLog {
+
+		private volatile boolean leading = true;
+
+		private volatile Function<byte[], CompletableFuture<ProposalOutcome>> script = this::commit;
+
+		private CompletableFuture<ProposalOutcome> commit(byte[] command) {
+			FleetBatch batch = FleetLoopFailureTests.this.codec.batch(command);
+			return CompletableFuture.completedFuture(new ProposalOutcome.Committed(batch.sequence(),
+					FleetLoopFailureTests.this.stateMachine.apply(batch.sequence(), command)));
+		}
+
+		@Override
+		public CompletableFuture<ProposalOutcome> propose(byte[] command) {
+			return this.script.apply(command);
+		}
+
+		@Override
+		public CompletableFuture<Optional<Long>> confirmLeadership() {
+			return CompletableFuture.completedFuture(Optional.of(1L));
+		}
+
+		@Override
+		public Optional<InstanceId> leader() {
+			return Optional.empty();
+		}
+
+		@Override
+		public boolean leads() {
+			return this.leading;
+		}
+
+		@Override
+		public long term() {
+			return 1;
+		}
+
+		@Override
+		public void close() {
+			// No resources to release.
+		}
+
+	}
+
+}
