--- a/fleetd/src/test/java/io/verbenatrack/fleetd/LeaderClientTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/LeaderClientTests.java
@@ -15,6 +15,7 @@
 import com.google.protobuf.ByteString;
 import io.grpc.stub.StreamObserver;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -37,6 +38,8 @@
 
 	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
 
+	private static final Duration WARM_UP_TIMEOUT = Duration.ofSeconds(20);
+
 	/** Long enough for a pause of over a second between two attempts to connect. */
 	private static final Duration REFUSAL = Duration.ofMillis(11_300);
 
@@ -48,6 +51,15 @@
 
 	private int port;
 
+	// The first call of a process can take longer than an attempt may.
+	@BeforeClass
+	void warmUp() throws IOException {
+		open();
+		startReplica("127.0.0.1", (call, timeout) -> CompletableFuture.completedFuture(new FleetReply.Stored()));
+		client("127.0.0.1").call(CALL, WARM_UP_TIMEOUT).join();
+		close();
+	}
+
 	@BeforeMethod
 	void open() throws IOException {
 		this.closer = new Closer();
