Answer each call of an entry by its deadline

A caller waited for ever for a call whose reply was never completed, for whatever cause: nothing but the attempts themselves watched the time.

The client that reports such calls now also answers them, as outcome unknown, which is true whatever happened to the call. It needs no timer while no call is open, and does not rely on the timer of the attempts. The leader tells the calling instance at once when a call fails in it, where that instance waited for the end of its attempt.

--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DeadlineFleetClient.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DeadlineFleetClient.java
@@ -10,7 +10,8 @@
 import io.verbenatrack.telemetry.LogEvent;
 
 /**
- * Reports the calls of another client that have no reply by their timeout.
+ * Answers each call by its timeout: calls that another client does not answer, or that
+ * fail in it, are reported and have an unknown outcome.
  */
 public final class DeadlineFleetClient implements FleetClient {
 
@@ -33,15 +34,20 @@
 
 	@Override
 	public CompletableFuture<FleetReply> call(FleetCall call, Duration timeout) {
-		CompletableFuture<FleetReply> reply = this.delegate.call(call, timeout);
-		reply.copy()
-			.orTimeout(timeout.plus(GRACE).toMillis(), TimeUnit.MILLISECONDS)
-			.whenComplete((answered, failure) -> {
-				if (failure != null) {
-					report(call, failure);
-				}
+		return start(call, timeout).orTimeout(timeout.plus(GRACE).toMillis(), TimeUnit.MILLISECONDS)
+			.exceptionally((failure) -> {
+				report(call, failure);
+				return new FleetReply.OutcomeUnknown();
 			});
-		return reply;
+	}
+
+	private CompletableFuture<FleetReply> start(FleetCall call, Duration timeout) {
+		try {
+			return this.delegate.call(call, timeout);
+		}
+		catch (RuntimeException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
 	}
 
 	private void report(FleetCall call, Throwable failure) {
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetService.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetService.java
@@ -50,6 +50,11 @@
 		this.client.call(call, CALL_TIMEOUT).thenAccept((reply) -> {
 			observer.onNext(CommandReply.newBuilder().setReply(ByteString.copyFrom(this.codec.encode(reply))).build());
 			observer.onCompleted();
+		}).exceptionally((failure) -> {
+			observer.onError(Status.INTERNAL.withDescription("The call was not answered: " + failure)
+				.withCause(failure)
+				.asRuntimeException());
+			return null;
 		});
 	}
 
