Retry attempts that fail by an exception

A call was never answered when its reply could not be decoded, or when an attempt threw on the thread of the timer: the attempt counted as replied before it was decoded, and the executor swallows what a task throws. Without any seed the call threw at the caller instead, which would also have ended the periodic probe of the leader, and with it the readiness of the entry.

Both now count as failed attempts: they are repeated until the deadline, and then answered as outcome unknown if an attempt was sent, else as refused. unreadableReplyHasUnknownOutcome had no reply within 5 s before, callWithoutReplicasIsRefused an ArithmeticException.

--- a/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
@@ -147,6 +148,16 @@
 		}
 
 		private void start(Optional<String> hint) {
+			try {
+				startAttempt(hint);
+			}
+			catch (RuntimeException ex) {
+				this.mayHaveArrived |= this.attemptSent;
+				scheduleRetry();
+			}
+		}
+
+		private void startAttempt(Optional<String> hint) {
 			long remainingNanos = this.deadlineNanos - LeaderClient.this.clock.nanoTime();
 			if (remainingNanos <= (this.attempted ? MIN_ATTEMPT_TIMEOUT.toNanos() : 0)) {
 				this.result.complete(
@@ -156,13 +167,13 @@
 										NO_LEADER_RETRY_MILLIS));
 				return;
 			}
+			this.attempted = true;
+			this.attemptSent = false;
 			String host = hint.orElseGet(LeaderClient.this::nextSeed);
 			ManagedChannel channel = channel(host);
 			CommandRequest request = CommandRequest.newBuilder()
 				.setCommand(ByteString.copyFrom(LeaderClient.this.codec.encode(this.call)))
 				.build();
-			this.attemptSent = false;
-			this.attempted = true;
 			EntryServiceGrpc.newStub(channel)
 				.withInterceptors(new StreamCreationInterceptor(() -> this.attemptSent = true))
 				.withDeadlineAfter(Math.min(remainingNanos, ATTEMPT_TIMEOUT.toNanos()), TimeUnit.NANOSECONDS)
@@ -205,12 +216,13 @@
 		}
 
 		private void scheduleRetry() {
-			if (LeaderClient.this.timer.isShutdown()) {
+			try {
+				LeaderClient.this.timer.schedule(() -> start(LeaderClient.this.leader), RETRY_DELAY.toMillis(),
+						TimeUnit.MILLISECONDS);
+			}
+			catch (RejectedExecutionException ex) {
 				this.result.complete(new FleetReply.OutcomeUnknown());
-				return;
 			}
-			LeaderClient.this.timer.schedule(() -> start(LeaderClient.this.leader), RETRY_DELAY.toMillis(),
-					TimeUnit.MILLISECONDS);
 		}
 
 	}
@@ -234,7 +246,15 @@
 		@Override
 		public void onNext(CommandReply reply) {
 			this.replied = true;
-			this.attempts.handleReply(this.host, LeaderClient.this.codec.decodeReply(reply.getReply().toByteArray()));
+			FleetReply decoded;
+			try {
+				decoded = LeaderClient.this.codec.decodeReply(reply.getReply().toByteArray());
+			}
+			catch (RuntimeException ex) {
+				this.attempts.handleFailure(this.host, this.channel, ex);
+				return;
+			}
+			this.attempts.handleReply(this.host, decoded);
 		}
 
 		@Override
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/LeaderClientTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/LeaderClientTests.java
@@ -121,7 +121,7 @@
 	}
 
 	// Guards against a call that is never answered when a reply cannot be decoded.
-	@Test(groups = "known-red")
+	@Test
 	public void unreadableReplyHasUnknownOutcome() throws Exception {
 		this.closer.register(new GrpcServer(new InetSocketAddress("127.0.0.1", this.port),
 				List.of(new EntryServiceGrpc.EntryServiceImplBase() {
@@ -138,7 +138,7 @@
 	}
 
 	// Guards against an exception, instead of a reply, when no replica is known.
-	@Test(groups = "known-red")
+	@Test
 	public void callWithoutReplicasIsRefused() {
 		assertThat(call()).isInstanceOf(FleetReply.Refused.class);
 	}
