Let other calls end when one of them is slow

When one attempt timed out, its connection was closed at once, and all other calls to that replica were cancelled and sent again, also those that it was about to answer. A leader that is slow for a moment got all its calls twice.

The connection is still replaced for new attempts, but it is closed only when the attempts that are open on it have ended, each by its own deadline.

--- a/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/LeaderClient.java
@@ -110,9 +110,10 @@
 					.build());
 	}
 
+	// The other calls on the connection may still be answered; each has its own deadline.
 	private void discardChannel(String host, ManagedChannel channel) {
 		if (this.channels.remove(host, channel)) {
-			channel.shutdownNow();
+			channel.shutdown();
 		}
 	}
 
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/LeaderClientTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/LeaderClientTests.java
@@ -156,7 +156,7 @@
 	}
 
 	// Guards against a slow call that cancels the other calls to the same replica.
-	@Test(groups = "known-red")
+	@Test
 	public void slowCallDoesNotCancelOthers() throws Exception {
 		AtomicInteger others = new AtomicInteger();
 		startReplica("127.0.0.1", (call, timeout) -> switch (call) {
