--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -72,8 +72,8 @@
 			"Report it with the fields of this event."),
 
 	/** A thread ended because of an unexpected error. */
-	THREAD_ENDED(1051, System.Logger.Level.ERROR, "A thread ended because of an unexpected error.",
-			"Report it with the fields of this event; restart the instance if it keeps running."),
+	THREAD_ENDED(1051, System.Logger.Level.ERROR, "A thread ended because of an unexpected error, so the process ends.",
+			"Report it with the fields of this event; restart the instance if nothing else does."),
 
 	/** A span ended and is exported to the log. */
 	TRACE_SPAN(1900, System.Logger.Level.INFO, "A span ended.",
