--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -10,7 +10,9 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Timer;
@@ -62,6 +64,18 @@
 	/** The retry delay that is recommended when the queue of calls is full. */
 	private static final long OVERLOAD_RETRY_MILLIS = 500;
 
+	/** The retry delay that is recommended after a call that failed by itself. */
+	private static final long FAILED_CALL_RETRY_MILLIS = 2000;
+
+	/**
+	 * The interval at which a turn that waits for a commit checks whether this replica
+	 * still leads.
+	 */
+	private static final Duration LEADERSHIP_CHECK_INTERVAL = Duration.ofMillis(300);
+
+	/** Longer than a disk hangs that recovers. */
+	private static final Duration MAX_COMMIT_WAIT = Duration.ofSeconds(10);
+
 	private final BlockingQueue<WaitingCall> calls = new ArrayBlockingQueue<>(MAX_QUEUED_CALLS);
 
 	private final ReplicatedLog log;
@@ -88,6 +102,8 @@
 
 	private volatile boolean closed;
 
+	private volatile boolean ended;
+
 	private Optional<LeaderTerm> currentTerm = Optional.empty();
 
 	/**
@@ -125,7 +141,7 @@
 	@Override
 	public CompletableFuture<FleetReply> call(FleetCall call, Duration timeout) {
 		CompletableFuture<FleetReply> reply = new CompletableFuture<>();
-		if (!this.log.leads()) {
+		if (this.ended || !this.log.leads()) {
 			reply.complete(new FleetReply.NotLeading(this.log.leader()));
 		}
 		else if (!this.calls.offer(new WaitingCall(call, this.clock.nanoTime(), reply))) {
@@ -133,10 +149,29 @@
 					new Problem(ProblemKind.OVERLOADED, "Too many calls wait for the leader.", "Come back later."),
 					OVERLOAD_RETRY_MILLIS));
 		}
+		if (this.ended) {
+			refuseQueuedCalls();
+		}
 		return reply;
 	}
 
+	private void refuseQueuedCalls() {
+		List<WaitingCall> queued = new ArrayList<>();
+		this.calls.drainTo(queued);
+		queued.forEach((call) -> call.reply().complete(new FleetReply.NotLeading(this.log.leader())));
+	}
+
 	private void run() {
+		try {
+			runTurns();
+		}
+		finally {
+			this.ended = true;
+			refuseQueuedCalls();
+		}
+	}
+
+	private void runTurns() {
 		while (!this.closed) {
 			List<WaitingCall> batch = new ArrayList<>();
 			try {
@@ -160,6 +195,10 @@
 				this.currentTerm = Optional.empty();
 				batch.forEach((call) -> call.reply().complete(new FleetReply.OutcomeUnknown()));
 			}
+			catch (Error ex) {
+				batch.forEach((call) -> call.reply().complete(new FleetReply.OutcomeUnknown()));
+				throw ex;
+			}
 		}
 	}
 
@@ -171,8 +210,9 @@
 		}
 		LeaderTerm leaderTerm = beginTerm();
 		List<CallDecision> decisions = new ArrayList<>();
-		Outcome callsOutcome = commit(leaderTerm, decideCalls(leaderTerm, batch, decisions));
-		boolean turnCommitted = callsOutcome == Outcome.COMMITTED && placeTasks(leaderTerm) == Outcome.COMMITTED;
+		List<FleetCommand> lostRuns = decideCalls(leaderTerm, batch, decisions);
+		ProposalOutcome callsOutcome = commitCalls(leaderTerm, decisions, lostRuns);
+		boolean turnCommitted = committed(callsOutcome) && committed(placeTasks(leaderTerm));
 		leaderTerm.scheduler.drainEvents()
 			.forEach((event) -> DecisionLogger.write(this.events, leaderTerm.term, event));
 		answer(batch, decisions, callsOutcome, turnCommitted);
@@ -204,35 +244,88 @@
 			List<CallDecision> decisions) {
 		return this.stateMachine.read((state) -> {
 			CallDecider rules = new CallDecider(leaderTerm.scheduler, state, this.wallClock.millis());
-			List<FleetCommand> commands = new ArrayList<>();
-			for (WaitingCall call : batch) {
-				CallDecision decision = rules.decide(call.call(), call.arrivedNanos());
-				decisions.add(decision);
-				commands.addAll(decision.commands());
-			}
-			commands.addAll(leaderTerm.scheduler.detectLostRuns(this.clock.nanoTime()));
-			return commands;
+			batch.forEach((call) -> decisions.add(decide(rules, call)));
+			return leaderTerm.scheduler.detectLostRuns(this.clock.nanoTime());
 		});
 	}
 
-	private Outcome placeTasks(LeaderTerm leaderTerm) {
+	private CallDecision decide(CallDecider rules, WaitingCall call) {
+		try {
+			return rules.decide(call.call(), call.arrivedNanos());
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			logFailedCall(call.call(), ex);
+			return CallDecision
+				.of(new FleetReply.Refused(
+						new Problem(ProblemKind.UNAVAILABLE, "The leader failed to decide on the call.",
+								"Report it with the FLEET_CALL_FAILED event of the leader."),
+						FAILED_CALL_RETRY_MILLIS));
+		}
+	}
+
+	private void logFailedCall(FleetCall call, Throwable failure) {
+		StackTraceElement[] trace = failure.getStackTrace();
+		this.events.write(LogEvent.FLEET_CALL_FAILED, new EventLog.Field("call", call.getClass().getSimpleName()),
+				new EventLog.Field("problem", failure),
+				new EventLog.Field("at", (trace.length > 0) ? trace[0] : "unknown"));
+	}
+
+	private ProposalOutcome commitCalls(LeaderTerm leaderTerm, List<CallDecision> decisions,
+			List<FleetCommand> lostRuns) {
+		List<FleetCommand> commands = new ArrayList<>();
+		decisions.forEach((decision) -> commands.addAll(decision.commands()));
+		commands.addAll(lostRuns);
+		ProposalOutcome outcome = commit(leaderTerm, commands);
+		return (outcome instanceof ProposalOutcome.Refused) ? commitSeparately(leaderTerm, decisions, lostRuns)
+				: outcome;
+	}
+
+	// Only the calls that cannot be stored are refused. An unknown outcome covers the
+	// calls that are already committed when another one fails.
+	private ProposalOutcome commitSeparately(LeaderTerm leaderTerm, List<CallDecision> decisions,
+			List<FleetCommand> lostRuns) {
+		for (int index = 0; index < decisions.size(); index++) {
+			switch (commit(leaderTerm, decisions.get(index).commands())) {
+				case ProposalOutcome.Committed committed -> {
+				}
+				case ProposalOutcome.Refused refused ->
+					decisions.set(index, CallDecision.of(refusal(refused.problem())));
+				case ProposalOutcome.NotLeader notLeader -> {
+					return new ProposalOutcome.Unknown();
+				}
+				case ProposalOutcome.Unknown unknown -> {
+					return unknown;
+				}
+			}
+		}
+		return committed(commit(leaderTerm, lostRuns)) ? new ProposalOutcome.Committed(0, new byte[0])
+				: new ProposalOutcome.Unknown();
+	}
+
+	private static FleetReply refusal(Problem problem) {
+		return (problem.kind() == ProblemKind.TOO_LARGE) ? new FleetReply.Invalid(problem)
+				: new FleetReply.Refused(problem, OVERLOAD_RETRY_MILLIS);
+	}
+
+	private ProposalOutcome placeTasks(LeaderTerm leaderTerm) {
 		return commit(leaderTerm, this.stateMachine
 			.read((state) -> leaderTerm.scheduler.placeTasks(this.clock.nanoTime(), this.wallClock.millis())));
 	}
 
-	private Outcome commit(LeaderTerm leaderTerm, List<FleetCommand> commands) {
+	private static boolean committed(ProposalOutcome outcome) {
+		return outcome instanceof ProposalOutcome.Committed;
+	}
+
+	private ProposalOutcome commit(LeaderTerm leaderTerm, List<FleetCommand> commands) {
 		if (commands.isEmpty()) {
-			return Outcome.COMMITTED;
+			return new ProposalOutcome.Committed(0, new byte[0]);
 		}
 		FleetBatch batch = new FleetBatch(leaderTerm.term, leaderTerm.sequence + 1, commands);
-		Outcome outcome = switch (this.log.propose(this.codec.encode(batch)).join()) {
-			case ProposalOutcome.Committed committed ->
-				FleetStateMachine.applied(committed.result()) ? Outcome.COMMITTED : Outcome.NOT_DONE;
-			case ProposalOutcome.NotLeader notLeader -> Outcome.NOT_DONE;
-			case ProposalOutcome.Refused refused -> Outcome.NOT_DONE;
-			case ProposalOutcome.Unknown unknown -> Outcome.UNKNOWN;
-		};
-		if (outcome == Outcome.COMMITTED) {
+		ProposalOutcome outcome = await(this.log.propose(this.codec.encode(batch)), leaderTerm.term);
+		if (outcome instanceof ProposalOutcome.Committed applied && !FleetStateMachine.applied(applied.result())) {
+			outcome = new ProposalOutcome.NotLeader(this.log.leader());
+		}
+		if (committed(outcome)) {
 			leaderTerm.sequence++;
 			for (FleetCommand command : commands) {
 				DecisionLogger.write(this.events, leaderTerm.term, command);
@@ -244,23 +337,48 @@
 		}
 		else {
 			this.events.write(LogEvent.FLEET_COMMIT_FAILED, new EventLog.Field("term", leaderTerm.term),
-					new EventLog.Field("commands", commands.size()), new EventLog.Field("outcome", outcome));
+					new EventLog.Field("commands", commands.size()),
+					new EventLog.Field("outcome", outcome.getClass().getSimpleName()));
 		}
 		return outcome;
 	}
 
+	// A proposal that is still open when this replica no longer leads may never be
+	// completed, and the queued calls wait meanwhile.
+	private ProposalOutcome await(CompletableFuture<ProposalOutcome> proposal, long term) {
+		long startedNanos = this.clock.nanoTime();
+		while (true) {
+			try {
+				return proposal.get(LEADERSHIP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+			}
+			catch (TimeoutException ex) {
+				boolean leading = this.log.leads() && this.log.term() == term;
+				if (!leading || this.clock.nanoTime() - startedNanos > MAX_COMMIT_WAIT.toNanos()) {
+					return new ProposalOutcome.Unknown();
+				}
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return new ProposalOutcome.Unknown();
+			}
+			catch (ExecutionException ex) {
+				throw new IllegalStateException("A proposal failed.", ex);
+			}
+		}
+	}
+
 	// A call whose commands may have been committed never gets a reply that it had no
 	// effect, even if a later commit of the same turn failed.
-	private void answer(List<WaitingCall> batch, List<CallDecision> decisions, Outcome callsOutcome,
+	private void answer(List<WaitingCall> batch, List<CallDecision> decisions, ProposalOutcome callsOutcome,
 			boolean turnCommitted) {
 		for (int index = 0; index < batch.size(); index++) {
 			CallDecision decision = decisions.get(index);
 			boolean confirmed = turnCommitted && this.log.leads();
 			FleetReply reply;
 			if (confirmed) {
-				reply = this.stateMachine.read((state) -> decision.reply().get());
+				reply = reply(batch.get(index).call(), decision);
 			}
-			else if (callsOutcome == Outcome.NOT_DONE || decision.commands().isEmpty()) {
+			else if (callsOutcome instanceof ProposalOutcome.NotLeader || decision.commands().isEmpty()) {
 				reply = new FleetReply.NotLeading(this.log.leader());
 			}
 			else {
@@ -270,18 +388,22 @@
 		}
 	}
 
+	private FleetReply reply(FleetCall call, CallDecision decision) {
+		try {
+			return this.stateMachine.read((state) -> decision.reply().get());
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			logFailedCall(call, ex);
+			return new FleetReply.OutcomeUnknown();
+		}
+	}
+
 	@Override
 	public void close() {
 		this.closed = true;
 		this.thread.interrupt();
 	}
 
-	private enum Outcome {
-
-		COMMITTED, NOT_DONE, UNKNOWN
-
-	}
-
 	private static final class LeaderTerm {
 
 		private final long term;
