Treat a task number out of range as an unknown task

A worker's entry may name any task. With a known job and an occurrence, step or index out of range, the leader threw in its turn: it dropped its term and its registry of workers, and answered all calls of that turn with "outcome unknown". The entry comes again with each heartbeat, so this repeated until it ended.

FleetState.step checked only upper bounds, and not the index. A replica applied a start without any check, so such a command in the log would have failed there again after each restart. No leader wrote one: it takes starts from its own state.

JobState now resolves a task with its whole range checked, and the state uses this for reading and for applying. A number out of range is treated like an unknown job: its run is stopped and its end ignored.

Before: rowThatNamesATaskOutOfRangeIsIgnored failed in 4 of 6 cases ("Index -1 out of bounds for length 1", "Index 8 out of bounds for length 8"), taskOutOfRangeIsUnknown in 7 of 8.

--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -93,9 +93,9 @@
 
 	private void start(FleetCommand.StartRun start) {
 		TaskId task = start.task();
-		job(task.job()).ifPresent((job) -> {
-			job.step(task.occurrence(), task.step()).tasks().get(task.index()).start(start.run(), start.life());
-			job.markRunning();
+		step(task).ifPresent((step) -> {
+			step.tasks().get(task.index()).start(start.run(), start.life());
+			this.jobs.get(task.job()).markRunning();
 			this.runsByWorker.computeIfAbsent(start.life(), (incarnation) -> new LinkedHashMap<>())
 				.put(task, start.run());
 		});
@@ -156,13 +156,11 @@
 
 	/**
 	 * Returns the step of a task.
-	 * @param task the task
-	 * @return the step, or empty when the job, occurrence or step does not exist
+	 * @param task the task, whose numbers may be out of range
+	 * @return the step, or empty when the job does not exist or has no such task
 	 */
 	public Optional<StepState> step(TaskId task) {
-		return job(task.job()).filter((job) -> task.occurrence() < job.occurrences().size())
-			.filter((job) -> task.step() < job.plan().steps().size())
-			.map((job) -> job.step(task.occurrence(), task.step()));
+		return job(task.job()).flatMap((job) -> job.stepOf(task));
 	}
 
 	private int maxAttempts(JobState job) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/JobState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/JobState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 
 import io.verbenatrack.fleet.model.JobPhase;
@@ -114,6 +115,21 @@
 		return this.occurrences.get(occurrence).get(step);
 	}
 
+	// Workers report task numbers, so these may be out of range.
+	Optional<StepState> stepOf(TaskId task) {
+		if (!contains(this.occurrences, task.occurrence())) {
+			return Optional.empty();
+		}
+		List<StepState> steps = this.occurrences.get(task.occurrence());
+		return contains(steps, task.step())
+				? Optional.of(steps.get(task.step())).filter((step) -> contains(step.tasks(), task.index()))
+				: Optional.empty();
+	}
+
+	private static boolean contains(List<?> list, int index) {
+		return index >= 0 && index < list.size();
+	}
+
 	/**
 	 * Returns whether the steps that a step depends on are done.
 	 * @param occurrence the index of the occurrence, from 0
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import io.verbenatrack.fleet.Fixtures;
@@ -353,4 +354,29 @@
 		assertThat(report(TWO, List.of()).starts()).extracting(HeartbeatResponse.Start::run).containsExactly(2);
 	}
 
+	@DataProvider
+	Object[][] tasksOutOfRange() {
+		return new Object[][] { { new TaskId(Fixtures.job(1), -1, 0, 0) }, { new TaskId(Fixtures.job(1), 1, 0, 0) },
+				{ new TaskId(Fixtures.job(1), 0, -1, 0) }, { new TaskId(Fixtures.job(1), 0, 1, 0) },
+				{ new TaskId(Fixtures.job(1), 0, 0, -1) }, { new TaskId(Fixtures.job(1), 0, 0, 8) } };
+	}
+
+	// Guards against an entry whose rows name a task out of range: it ended each turn of
+	// the leader that decided on it.
+	@Test(dataProvider = "tasksOutOfRange")
+	public void rowThatNamesATaskOutOfRangeIsIgnored(TaskId odd) {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(8, 1, false)));
+		report(ONE, List.of());
+		List<ReportedRun> runs = new ArrayList<>();
+		this.state.runsOn(ONE).forEach((task, run) -> runs.add(new ReportedRun(task, run, "", 10)));
+		runs.add(new ReportedRun(odd, 1, "", 10));
+		accept(2, "urgent", Fixtures.plan(Fixtures.step(1, 8, true)));
+		report(ONE, runs, new ReportedEnd(1, odd, 1, RunOutcome.DONE, ""));
+		this.nowMillis += 600;
+		HeartbeatResponse response = report(ONE, runs, new ReportedEnd(1, odd, 1, RunOutcome.DONE, ""));
+		assertThat(response.leaseMillis()).isPositive();
+		assertThat(response.stops()).contains(new HeartbeatResponse.Stop(odd, 1));
+		report(TWO, List.of(new ReportedRun(odd, 1, "", 10)), new ReportedEnd(1, odd, 1, RunOutcome.FAILED, ""));
+	}
+
 }
--- a/fleet/src/test/java/io/verbenatrack/fleet/state/FleetStateTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/FleetStateTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import io.verbenatrack.fleet.Fixtures;
@@ -185,4 +186,28 @@
 		assertThat(copy.step(task(0, 0)).orElseThrow().done()).isTrue();
 	}
 
+	@DataProvider
+	Object[][] tasksOutOfRange() {
+		return new Object[][] { { new TaskId(JOB, -1, 0, 0) }, { new TaskId(JOB, 1, 0, 0) },
+				{ new TaskId(JOB, 0, -1, 0) }, { new TaskId(JOB, 0, 1, 0) }, { new TaskId(JOB, 0, 0, -1) },
+				{ new TaskId(JOB, 0, 0, 2) },
+				{ new TaskId(JOB, Integer.MIN_VALUE, Integer.MAX_VALUE, Integer.MIN_VALUE) },
+				{ new TaskId(new JobId("unknown"), 0, 0, 0) } };
+	}
+
+	// Guards against entries that name a task which the job does not have: each replica
+	// would fail on the command again after each restart.
+	@Test(dataProvider = "tasksOutOfRange")
+	public void taskOutOfRangeIsUnknown(TaskId task) {
+		accept(Fixtures.plan(Fixtures.step(2, 1, false)));
+		assertThat(this.state.step(task)).isEmpty();
+		assertThat(this.state.isRunning(task, 1)).isFalse();
+		assertThat(this.state.isCurrentRun(new FleetCommand.EndRun(task, 1, INCARNATION, RunOutcome.DONE, "")))
+			.isFalse();
+		start(task, 1);
+		end(task, 1, RunOutcome.DONE);
+		assertThat(this.state.runsOn(INCARNATION)).isEmpty();
+		assertThat(phase()).isEqualTo(JobPhase.PENDING);
+	}
+
 }
