Let only a new incarnation take the place of a leased worker

A copy of a worker's entry with a later start, under the same identifier or with the same address, took the worker's place: its reports were outdated for as long as the copy came, and its runs counted as lost at once. They started elsewhere while the worker, whose lease had seconds left, still ran them. A known worker that named the address of another one had the same effect.

An entry may now take the place of a worker with a valid lease only if it shows what a new incarnation shows: one that knows nothing of before lists no runs, and counts its reports anew; or a leader has started runs on exactly this incarnation. A worker that is known keeps its address. Another entry is answered like an outdated report, without a lease, until the lease of the known worker has ended, so that a run is never lost by a claim alone while it may run on.

A true restart is still followed at once, with its old runs lost. If its first 100 reports did not arrive, it waits for the end of the old lease, which has then passed: reports are 50 ms apart at least. An entry that shows exactly what a restart shows cannot be told from one.

Before: copyOfAnEntryWithALaterStartDisplacesNoWorkerThatHoldsALease and workerThatNamesTheAddressOfAnotherOneDoesNotDisplaceIt failed with "expected: 0L but was: 6000L": the copy got a lease of 6 s.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -84,7 +84,8 @@
 	public Optional<List<FleetCommand>> receiveReport(WorkerReport report, long nowNanos) {
 		Optional<TrackedWorker> before = this.registry.worker(report.life());
 		boolean wasDraining = before.filter((worker) -> worker.report().draining()).isPresent();
-		Optional<TrackedWorker> known = this.registry.update(report, nowNanos);
+		Optional<TrackedWorker> known = this.registry.update(report, this.state.runsOn(report.life()).keySet(),
+				nowNanos);
 		if (known.isPresent() && before.isEmpty()) {
 			this.events.add(new FleetEvent.WorkerJoined(report));
 		}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
+import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.model.WorkerId;
@@ -18,6 +20,12 @@
  */
 public final class WorkerRegistry {
 
+	/**
+	 * The maximum sequence number of the first report of a new incarnation. After more
+	 * reports that did not arrive, the lease of the previous one has ended anyway.
+	 */
+	private static final long MAX_FIRST_SEQUENCE = 100;
+
 	private final Map<WorkerId, TrackedWorker> workers = new LinkedHashMap<>();
 
 	private final long leaseNanos;
@@ -35,12 +43,14 @@
 	}
 
 	/**
-	 * Updates a worker from its report unless the report is outdated.
+	 * Updates a worker from its report unless the report is outdated, or claims the place
+	 * of a worker with a valid lease without being a new incarnation.
 	 * @param report the report
+	 * @param started the tasks that were started on this incarnation
 	 * @param nowNanos the time of arrival in nanoseconds of the monotonic clock
-	 * @return the worker, or empty when a newer report or incarnation is known
+	 * @return the worker, or empty when the report is not to be followed
 	 */
-	public Optional<TrackedWorker> update(WorkerReport report, long nowNanos) {
+	public Optional<TrackedWorker> update(WorkerReport report, Set<TaskId> started, long nowNanos) {
 		WorkerId id = report.life().worker();
 		TrackedWorker known = this.workers.get(id);
 		if (known != null && known.incarnation().bornMillis() > report.life().bornMillis()) {
@@ -49,7 +59,12 @@
 		if (replaced(report.life(), report.address())) {
 			return Optional.empty();
 		}
-		if (known == null || !known.incarnation().equals(report.life())) {
+		boolean moved = known == null || !known.report().address().equals(report.address());
+		boolean begins = known == null || !known.incarnation().equals(report.life());
+		if ((begins || moved) && claimsHeldPlace(report, started, begins, nowNanos)) {
+			return Optional.empty();
+		}
+		if (begins) {
 			known = new TrackedWorker(report, nowNanos, this.inheritedLeaseEndNanos);
 			this.workers.put(id, known);
 			return Optional.of(known);
@@ -57,6 +72,22 @@
 		return known.update(report, nowNanos) ? Optional.of(known) : Optional.empty();
 	}
 
+	// An entry of another writer may name the identifier or the address of a worker that
+	// still holds a lease. A new incarnation keeps its address, lists nothing of before,
+	// and its reports are counted anew, unless a leader has started runs on it before.
+	private boolean claimsHeldPlace(WorkerReport report, Set<TaskId> started, boolean begins, long nowNanos) {
+		boolean fresh = report.running().isEmpty() && report.sequence() <= MAX_FIRST_SEQUENCE;
+		if (begins && (fresh || !started.isEmpty())) {
+			return false;
+		}
+		return this.workers.values()
+			.stream()
+			.filter((other) -> !other.incarnation().equals(report.life()))
+			.filter((other) -> other.incarnation().worker().equals(report.life().worker())
+					|| other.report().address().equals(report.address()))
+			.anyMatch((other) -> nowNanos - other.leaseEndNanos() <= 0);
+	}
+
 	private boolean replaced(WorkerIncarnation incarnation, String address) {
 		return this.workers.values()
 			.stream()
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
@@ -379,4 +379,74 @@
 		report(TWO, List.of(new ReportedRun(odd, 1, "", 10)), new ReportedEnd(1, odd, 1, RunOutcome.FAILED, ""));
 	}
 
+	private static WorkerReport reportAt(String address, WorkerIncarnation life, long number,
+			List<ReportedRun> running) {
+		WorkerReport report = Fixtures.report(life, number, false, running, List.of());
+		return new WorkerReport(life, address, report.service(), report.zone(), report.rack(), report.labels(),
+				report.room(), false, report.stayMillis(), number, running, List.of());
+	}
+
+	// Guards against TWICE: a copy of an entry with a later start made the true worker
+	// outdated, and its runs started elsewhere while it still ran them.
+	@Test
+	public void copyOfAnEntryWithALaterStartDisplacesNoWorkerThatHoldsALease() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		List<ReportedRun> runs = List.of(running(1, 0, 1));
+		report(ONE, runs);
+		WorkerIncarnation later = new WorkerIncarnation(ONE.worker(), 5000);
+		WorkerIncarnation otherName = new WorkerIncarnation(Fixtures.incarnation(3).worker(), 5000);
+		String address = Fixtures.report(ONE, 1, false, runs, List.of()).address();
+		for (int report = 0; report < 50; report++) {
+			this.nowMillis += 200;
+			assertThat(report(reportAt(address, later, 1000 + report, runs)).leaseMillis()).isZero();
+			assertThat(report(reportAt(address, otherName, 1000 + report, runs)).leaseMillis()).isZero();
+			assertThat(report(reportAt(address, later, 1000 + report, List.of())).leaseMillis()).isZero();
+			assertThat(report(reportAt(address, otherName, report, runs)).leaseMillis()).isZero();
+			assertThat(report(ONE, runs).leaseMillis()).as("after %d ms", this.nowMillis).isPositive();
+			assertThat(report(TWO, List.of()).starts()).as("after %d ms", this.nowMillis).isEmpty();
+		}
+		assertThat(this.state.runsOn(ONE)).hasSize(1);
+	}
+
+	// Guards against TWICE: a known worker that names the address of another one made
+	// the other one outdated.
+	@Test
+	public void workerThatNamesTheAddressOfAnotherOneDoesNotDisplaceIt() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		List<ReportedRun> runs = List.of(running(1, 0, 1));
+		WorkerIncarnation younger = new WorkerIncarnation(TWO.worker(), 5000);
+		report(reportAt("worker-2:80", younger, 1, List.of()));
+		String address = Fixtures.report(ONE, 1, false, runs, List.of()).address();
+		assertThat(report(reportAt(address, younger, 2, List.of())).leaseMillis()).isZero();
+		assertThat(report(ONE, runs).leaseMillis()).isPositive();
+		assertThat(this.state.runsOn(ONE)).hasSize(1);
+		assertThat(report(reportAt("worker-2:80", younger, 3, List.of())).leaseMillis()).isPositive();
+	}
+
+	@Test
+	public void entryThatListsForeignRunsIsFollowedOnceTheLeaseOfTheKnownWorkerHasEnded() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		List<ReportedRun> runs = List.of(running(1, 0, 1));
+		WorkerIncarnation later = new WorkerIncarnation(ONE.worker(), 5000);
+		String address = Fixtures.report(ONE, 1, false, runs, List.of()).address();
+		this.nowMillis += 6000;
+		assertThat(report(reportAt(address, later, 1, runs)).leaseMillis()).isZero();
+		this.nowMillis += 600;
+		assertThat(report(reportAt(address, later, 2, runs)).leaseMillis()).isPositive();
+	}
+
+	@Test
+	public void newLeaderFollowsAnIncarnationWithRunsDespiteALateReportOfAnEarlierOne() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		WorkerIncarnation later = new WorkerIncarnation(ONE.worker(), 5000);
+		report(Fixtures.report(later, 1, false, List.of(), List.of()));
+		startNextTerm();
+		report(ONE, List.of());
+		assertThat(report(Fixtures.report(later, 1000, false, List.of(running(1, 0, 1)), List.of())).leaseMillis())
+			.isPositive();
+	}
+
 }
