Refuse a report that no worker can have sent now

An entry under a known identifier whose "born" lies far in the future, or whose sequence number is near the largest, made each later report of the true worker outdated, for as long as the entry was held or came again. The worker got no lease and no work, its runs ended with their leases, and with the later start they counted as lost at once.

ReportCheck bounds what an entry may claim by the leader's clocks. The start may be ahead by one minute at most: wall clocks of machines differ by seconds and step by about two, and a start that is a little ahead can take no place of a leased worker that is not its own. The sequence number counts reports, so it is bounded by the age of the worker, and from one report to the next by the time between them: one per 10 ms, a fifth of the shortest interval, and 50 more for a burst. A true worker that exceeds this is followed again within moments, since the bound grows with the time. The leader answers "invalid"; the next report is judged on its own.

Before: reportThatNoWorkerCanHaveSentIsRefused failed in 8 of 8 cases (for a start or a number near the largest long the entry got a lease of 6 s), sequenceNumberThatJumpsDoesNotMakeTheTrueWorkerOutdated with "expected: 0L but was: 6000L".

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
@@ -48,7 +48,8 @@
 	}
 
 	boolean update(WorkerReport newer, long nowNanos) {
-		if (newer.sequence() <= this.report.sequence()) {
+		long advance = newer.sequence() - this.report.sequence();
+		if (advance <= 0 || advance > ReportCheck.maxReports(Duration.ofNanos(silentNanos(nowNanos)).toMillis())) {
 			return false;
 		}
 		accept(newer, nowNanos);
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
@@ -449,4 +449,21 @@
 			.isPositive();
 	}
 
+	// Guards against a sequence number of another writer that makes each later report of
+	// the true worker outdated.
+	@Test
+	public void sequenceNumberThatJumpsDoesNotMakeTheTrueWorkerOutdated() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		List<ReportedRun> runs = List.of(running(1, 0, 1));
+		for (long odd : new long[] { Long.MAX_VALUE, Long.MAX_VALUE - 1, 1L << 40, 1_000_000 }) {
+			this.nowMillis += 200;
+			assertThat(report(Fixtures.report(ONE, odd, false, runs, List.of())).leaseMillis()).isZero();
+			assertThat(report(ONE, runs).leaseMillis()).as("after %d", odd).isPositive();
+		}
+		this.nowMillis += 5000;
+		this.reports += 500;
+		assertThat(report(ONE, runs).leaseMillis()).isPositive();
+	}
+
 }
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
@@ -14,6 +14,7 @@
 import io.verbenatrack.fleet.model.Queue;
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.fleet.policy.FleetScheduler;
+import io.verbenatrack.fleet.policy.ReportCheck;
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.fleet.state.JobState;
@@ -129,6 +130,10 @@
 	}
 
 	private CallDecision heartbeat(WorkerReport report, long arrivedNanos) {
+		Optional<Problem> problem = ReportCheck.problem(report, this.nowMillis);
+		if (problem.isPresent()) {
+			return CallDecision.of(new FleetReply.Invalid(problem.get()));
+		}
 		List<FleetCommand> commands = this.scheduler.receiveReport(report, arrivedNanos).orElse(List.of());
 		return new CallDecision(commands, () -> new FleetReply.Orders(this.scheduler.respond(report)));
 	}
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
@@ -10,6 +10,7 @@
 
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import io.verbenatrack.control.ProposalOutcome;
@@ -108,6 +109,34 @@
 		assertThat(jobStored()).isTrue();
 	}
 
+	private static FleetCall heartbeat(long bornMillis, long sequence) {
+		return new FleetCall.Heartbeat(
+				new WorkerReport(new WorkerIncarnation(new WorkerId("w"), bornMillis), "w:1", SERVICE, new ZoneId("z"),
+						"r", Set.of("r"), new Resources(10, 10, 8), false, 0, sequence, List.of(), List.of()));
+	}
+
+	@DataProvider
+	Object[][] impossibleReports() {
+		long nowMillis = System.currentTimeMillis();
+		return new Object[][] { { Long.MAX_VALUE, 1 }, { nowMillis + Duration.ofHours(1).toMillis(), 1 },
+				{ Long.MIN_VALUE, 1 }, { -1, 1 }, { nowMillis, Long.MAX_VALUE }, { nowMillis, 100_000 },
+				{ 1, Long.MAX_VALUE }, { 1, -1 } };
+	}
+
+	// Guards against an entry of another writer that makes the true worker outdated.
+	@Test(dataProvider = "impossibleReports")
+	public void reportThatNoWorkerCanHaveSentIsRefused(long bornMillis, long sequence) throws Exception {
+		assertThat(call(heartbeat(bornMillis, sequence))).isInstanceOf(FleetReply.Invalid.class);
+		assertThat(call(heartbeat(1, 2))).isInstanceOfSatisfying(FleetReply.Orders.class,
+				(orders) -> assertThat(orders.orders().leaseMillis()).isPositive());
+	}
+
+	@Test
+	public void workerWhoseClockIsAheadIsFollowed() throws Exception {
+		assertThat(call(heartbeat(System.currentTimeMillis() + 5000, 1))).isInstanceOfSatisfying(
+				FleetReply.Orders.class, (orders) -> assertThat(orders.orders().leaseMillis()).isPositive());
+	}
+
 	/** Commits all batches except those that contain a given kind of command. */
 	private final class FailingLog implements ReplicatedLog {
 
