Start nothing on a worker that another one replaced at its address

When a new worker reports at the address of another one, the runs of the old one count as lost. But the old one still got tasks until it had been silent for 1.2 s. These counted as lost in the next turn and could start there again, so that a task lost time and used up run numbers.

The registry now marks the old worker as displaced when it follows the new one, and the old one gets no tasks. A report of the old one is followed again only once the new one has been forgotten, and takes the mark away.

Before: newWorkerAtTheAddressOfAnotherOneMakesItsRunsLost failed with "Expecting actual: [] to contain exactly (and in same order): [2]": run 2 was started on the old worker.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
@@ -40,6 +40,8 @@
 
 	private boolean left;
 
+	private boolean displaced;
+
 	TrackedWorker(WorkerReport report, long nowNanos, long leaseEndNanos) {
 		this.report = report;
 		this.leaseEndNanos = leaseEndNanos;
@@ -57,6 +59,7 @@
 	}
 
 	private void accept(WorkerReport newer, long nowNanos) {
+		this.displaced = false;
 		this.report = newer;
 		this.lastReportNanos = nowNanos;
 		this.running.clear();
@@ -148,6 +151,11 @@
 		this.left = true;
 	}
 
+	// A later report that is followed again undoes this.
+	void markDisplaced() {
+		this.displaced = true;
+	}
+
 	boolean recordEnd(JobId job, RunOutcome how, long nowNanos) {
 		if (how == RunOutcome.DONE) {
 			this.failedJobs.clear();
@@ -178,10 +186,12 @@
 	 * Returns whether the worker may get new tasks.
 	 * @param nowNanos the time in nanoseconds of the monotonic clock
 	 * @param silenceTimeout the maximum silence of a reachable worker
-	 * @return whether the worker is reachable, not leaving and not suspected
+	 * @return whether the worker is reachable, not leaving, not suspected and not
+	 * displaced by another one at its address
 	 */
 	public boolean schedulable(long nowNanos, Duration silenceTimeout) {
-		return !this.left && !this.report.draining() && reachable(nowNanos, silenceTimeout) && !suspected(nowNanos);
+		return !this.left && !this.displaced && !this.report.draining() && reachable(nowNanos, silenceTimeout)
+				&& !suspected(nowNanos);
 	}
 
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
@@ -67,6 +67,7 @@
 		if (begins) {
 			known = new TrackedWorker(report, nowNanos, this.inheritedLeaseEndNanos);
 			this.workers.put(id, known);
+			markDisplaced(report);
 			return Optional.of(known);
 		}
 		return known.update(report, nowNanos) ? Optional.of(known) : Optional.empty();
@@ -88,6 +89,14 @@
 			.anyMatch((other) -> nowNanos - other.leaseEndNanos() <= 0);
 	}
 
+	private void markDisplaced(WorkerReport newcomer) {
+		this.workers.values()
+			.stream()
+			.filter((other) -> other.report().address().equals(newcomer.address())
+					&& !other.incarnation().equals(newcomer.life()))
+			.forEach(TrackedWorker::markDisplaced);
+	}
+
 	private boolean replaced(WorkerIncarnation incarnation, String address) {
 		return this.workers.values()
 			.stream()
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
@@ -425,6 +425,19 @@
 		assertThat(report(reportAt("worker-2:80", younger, 3, List.of())).leaseMillis()).isPositive();
 	}
 
+	// Guards against runs that start on the old worker of an address, where they are lost
+	// again at once.
+	@Test
+	public void newWorkerAtTheAddressOfAnotherOneMakesItsRunsLost() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		report(ONE, List.of(running(1, 0, 1)));
+		String address = Fixtures.report(ONE, 1, false, List.of(), List.of()).address();
+		assertThat(report(reportAt(address, new WorkerIncarnation(TWO.worker(), 5000), 1, List.of())).starts())
+			.extracting(HeartbeatResponse.Start::run)
+			.containsExactly(2);
+	}
+
 	@Test
 	public void entryThatListsForeignRunsIsFollowedOnceTheLeaseOfTheKnownWorkerHasEnded() {
 		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
