Sum the accelerators of an account without overflow

The accelerators that the urgent jobs of an account use were added up in an int. An account whose jobs together ask for more than 2^31 counted as below its guarantee, so its jobs preempted the work of others at any loss.

The sum is now a long. Steps and accelerators are bounded, so it cannot overflow with any number of jobs that fits into memory.

Before: accountFarBeyondItsGuaranteeIsNotGuaranteed failed with "Expecting empty but was: [Stop[...], ...]": all 8 runs of another queue were stopped for the account.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -60,7 +60,7 @@
 
 	private final Set<TaskId> preempted = new LinkedHashSet<>();
 
-	private final Map<AccountId, Integer> guaranteedUse = new HashMap<>();
+	private final Map<AccountId, Long> guaranteedUse = new HashMap<>();
 
 	PlacementPass(FleetState state, WorkerRegistry registry, FleetTimings timings, StalledRunMover runMover,
 			Set<TaskId> stopping, long nowNanos, long nowMillis) {
@@ -128,13 +128,13 @@
 	private void countGuaranteedUse() {
 		for (JobState job : this.state.unfinishedJobs()) {
 			if (this.state.queueOf(job).filter((queue) -> queue.priority() == 0).isPresent()) {
-				int peakAccelerators = job.plan()
+				long peakAccelerators = job.plan()
 					.steps()
 					.stream()
-					.mapToInt((step) -> step.count() * step.room().accelerators())
+					.mapToLong((step) -> (long) step.count() * step.room().accelerators())
 					.max()
 					.orElse(0);
-				this.guaranteedUse.merge(job.account(), peakAccelerators, Integer::sum);
+				this.guaranteedUse.merge(job.account(), peakAccelerators, Long::sum);
 			}
 		}
 	}
@@ -146,7 +146,7 @@
 		int guarantee = this.state.configuration()
 			.map((configuration) -> configuration.guaranteedAccelerators(step.job().account()))
 			.orElse(0);
-		return this.guaranteedUse.getOrDefault(step.job().account(), 0) <= guarantee;
+		return this.guaranteedUse.getOrDefault(step.job().account(), 0L) <= guarantee;
 	}
 
 	private long waitedMillis(PendingStep step) {
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
@@ -479,4 +479,20 @@
 		assertThat(report(ONE, runs).leaseMillis()).isPositive();
 	}
 
+	// Guards against a sum of accelerators that overflows, so that an account beyond its
+	// guarantee preempts the work of others.
+	@Test
+	public void accountFarBeyondItsGuaranteeIsNotGuaranteed() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(8, 1, false)));
+		report(ONE, List.of());
+		List<ReportedRun> runs = new ArrayList<>();
+		this.state.runsOn(ONE).forEach((task, run) -> runs.add(new ReportedRun(task, run, "", 90)));
+		for (int job = 2; job < 16; job++) {
+			accept(job, "urgent", Fixtures.plan(Fixtures.step(20_000, 10_000, false)));
+		}
+		accept(16, "urgent", Fixtures.plan(Fixtures.step(1, 8, true)));
+		this.nowMillis += 600;
+		assertThat(report(ONE, runs).stops()).isEmpty();
+	}
+
 }
