--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
@@ -21,8 +21,12 @@
 import io.verbenatrack.fleet.model.FleetConfiguration;
 import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.Queue;
+import io.verbenatrack.fleet.model.ReportedEnd;
+import io.verbenatrack.fleet.model.ReportedRun;
 import io.verbenatrack.fleet.model.Resources;
+import io.verbenatrack.fleet.model.RunOutcome;
 import io.verbenatrack.fleet.model.StepSpec;
+import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerPool;
 import io.verbenatrack.fleet.model.WorkerReport;
@@ -131,6 +135,23 @@
 				(orders) -> assertThat(orders.orders().leaseMillis()).isPositive());
 	}
 
+	// Guards against a row of one entry that ends the leader's term, with the calls of
+	// its
+	// turn left without a clear answer.
+	@Test
+	public void rowThatNamesATaskOutOfRangeEndsNoTerm() throws Exception {
+		call(SUBMIT);
+		JobId job = new JobId("0123456789abcdef");
+		List<ReportedRun> running = List.of(new ReportedRun(new TaskId(job, -1, 0, 0), 1, "", 10),
+				new ReportedRun(new TaskId(job, 0, 0, Integer.MAX_VALUE), 1, "", 10));
+		List<ReportedEnd> ended = List
+			.of(new ReportedEnd(Long.MAX_VALUE, new TaskId(job, 0, -1, -1), 1, RunOutcome.DONE, ""));
+		FleetCall odd = new FleetCall.Heartbeat(new WorkerReport(new WorkerIncarnation(new WorkerId("w"), 1), "w:1",
+				SERVICE, new ZoneId("z"), "r", Set.of("r"), new Resources(10, 10, 8), false, 0, 2, running, ended));
+		assertThat(call(odd)).isInstanceOf(FleetReply.Orders.class);
+		assertThat(call(SUBMIT)).isEqualTo(new FleetReply.Stored());
+	}
+
 	@Test
 	public void workerWhoseClockIsAheadIsFollowed() throws Exception {
 		assertThat(call(heartbeat(System.currentTimeMillis() + 5000, 1))).isInstanceOfSatisfying(
