--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
@@ -10,6 +10,7 @@
 
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import io.verbenatrack.control.ProposalOutcome;
@@ -20,8 +21,12 @@
 import io.verbenatrack.fleet.model.FleetConfiguration;
 import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.Queue;
+import io.verbenatrack.fleet.model.ReportedEnd;
+import io.verbenatrack.fleet.model.ReportedRun;
 import io.verbenatrack.fleet.model.Resources;
+import io.verbenatrack.fleet.model.RunOutcome;
 import io.verbenatrack.fleet.model.StepSpec;
+import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerPool;
 import io.verbenatrack.fleet.model.WorkerReport;
@@ -108,6 +113,51 @@
 		assertThat(jobStored()).isTrue();
 	}
 
+	private static FleetCall heartbeat(long bornMillis, long sequence) {
+		return new FleetCall.Heartbeat(
+				new WorkerReport(new WorkerIncarnation(new WorkerId("w"), bornMillis), "w:1", SERVICE, new ZoneId("z"),
+						"r", Set.of("r"), new Resources(10, 10, 8), false, 0, sequence, List.of(), List.of()));
+	}
+
+	@DataProvider
+	Object[][] impossibleReports() {
+		long nowMillis = System.currentTimeMillis();
+		return new Object[][] { { Long.MAX_VALUE, 1 }, { nowMillis + Duration.ofHours(1).toMillis(), 1 },
+				{ Long.MIN_VALUE, 1 }, { -1, 1 }, { nowMillis, Long.MAX_VALUE }, { nowMillis, 100_000 },
+				{ 1, Long.MAX_VALUE }, { 1, -1 } };
+	}
+
+	// Guards against an entry of another writer that makes the true worker outdated.
+	@Test(dataProvider = "impossibleReports")
+	public void reportThatNoWorkerCanHaveSentIsRefused(long bornMillis, long sequence) throws Exception {
+		assertThat(call(heartbeat(bornMillis, sequence))).isInstanceOf(FleetReply.Invalid.class);
+		assertThat(call(heartbeat(1, 2))).isInstanceOfSatisfying(FleetReply.Orders.class,
+				(orders) -> assertThat(orders.orders().leaseMillis()).isPositive());
+	}
+
+	// Guards against a row of one entry that ends the leader's term, with the calls of
+	// its
+	// turn left without a clear answer.
+	@Test
+	public void rowThatNamesATaskOutOfRangeEndsNoTerm() throws Exception {
+		call(SUBMIT);
+		JobId job = new JobId("0123456789abcdef");
+		List<ReportedRun> running = List.of(new ReportedRun(new TaskId(job, -1, 0, 0), 1, "", 10),
+				new ReportedRun(new TaskId(job, 0, 0, Integer.MAX_VALUE), 1, "", 10));
+		List<ReportedEnd> ended = List
+			.of(new ReportedEnd(Long.MAX_VALUE, new TaskId(job, 0, -1, -1), 1, RunOutcome.DONE, ""));
+		FleetCall odd = new FleetCall.Heartbeat(new WorkerReport(new WorkerIncarnation(new WorkerId("w"), 1), "w:1",
+				SERVICE, new ZoneId("z"), "r", Set.of("r"), new Resources(10, 10, 8), false, 0, 2, running, ended));
+		assertThat(call(odd)).isInstanceOf(FleetReply.Orders.class);
+		assertThat(call(SUBMIT)).isEqualTo(new FleetReply.Stored());
+	}
+
+	@Test
+	public void workerWhoseClockIsAheadIsFollowed() throws Exception {
+		assertThat(call(heartbeat(System.currentTimeMillis() + 5000, 1))).isInstanceOfSatisfying(
+				FleetReply.Orders.class, (orders) -> assertThat(orders.orders().leaseMillis()).isPositive());
+	}
+
 	/** Commits all batches except those that contain a given kind of command. */
 	private final class FailingLog implements ReplicatedLog {
 
