Add a seeded model of leaders and workers for the scheduler

No test drove FleetScheduler and FleetState through changes of leader, late reports, lapsed leases and restarted workers together.

--- /dev/null
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelFleet.java
@@ -0,0 +1,481 @@
+package io.verbenatrack.fleet.policy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import io.verbenatrack.fleet.Fixtures;
+import io.verbenatrack.fleet.model.HeartbeatResponse;
+import io.verbenatrack.fleet.model.JobPlan;
+import io.verbenatrack.fleet.model.RunOutcome;
+import io.verbenatrack.fleet.model.StepSpec;
+import io.verbenatrack.fleet.model.TaskId;
+import io.verbenatrack.fleet.model.WorkerIncarnation;
+import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.state.FleetBatch;
+import io.verbenatrack.fleet.state.FleetCommand;
+import io.verbenatrack.fleet.state.FleetState;
+import io.verbenatrack.fleet.state.JobState;
+import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.WorkerId;
+
+/**
+ * A simulation of leaders and workers on a network that loses and delays messages. The
+ * same seed gives the same run. Leaders take turns as the fleet's event loop does.
+ */
+final class ModelFleet {
+
+	private static final FleetTimings TIMINGS = FleetTimings.withLease(Duration.ofSeconds(6));
+
+	private static final long TICK_MILLIS = 10;
+
+	/** The time between turns without calls. */
+	private static final long IDLE_TURN_MILLIS = 40;
+
+	private static final long FAULTY_MILLIS = 30_000;
+
+	private static final long LAST_JOB_MILLIS = 20_000;
+
+	/** Enough for every accepted job to end once there are no more faults. */
+	private static final long END_MILLIS = 75_000;
+
+	private static final long MIN_WORK_MILLIS = 200;
+
+	private static final long MAX_WORK_MILLIS = 4000;
+
+	private static final int WORKERS = 5;
+
+	private static final int JOBS = 40;
+
+	/** Workers report at most this many ends at once. */
+	private static final int LISTED_ENDS = 500;
+
+	private final Random random;
+
+	/** Factor of the probability of each fault in this seed, 1 to 7. */
+	private final double faultRate;
+
+	private final ModelChecker checker = new ModelChecker(this::now);
+
+	private final FleetState state = new FleetState();
+
+	private final PriorityQueue<Event> network = new PriorityQueue<>(
+			Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
+
+	private final List<ModelWorker> workers = new ArrayList<>();
+
+	private final List<Call> queued = new ArrayList<>();
+
+	private final Map<JobId, JobPlan> plans = new HashMap<>();
+
+	private Optional<FleetScheduler> scheduler = Optional.empty();
+
+	/**
+	 * A batch of this term of which the leader does not know whether it will be applied.
+	 */
+	private Optional<FleetBatch> undecided = Optional.empty();
+
+	private long nowMillis;
+
+	private long events;
+
+	private long term = 1;
+
+	private long sequence;
+
+	private long leaderlessUntilMillis;
+
+	private long pausedUntilMillis;
+
+	private int bornWorkers;
+
+	private int newNames;
+
+	ModelFleet(long seed) {
+		this.random = new Random(seed);
+		this.faultRate = 1 + 6 * this.random.nextDouble();
+	}
+
+	long now() {
+		return this.nowMillis;
+	}
+
+	ModelChecker checker() {
+		return this.checker;
+	}
+
+	/**
+	 * Runs the simulation.
+	 * @return the violations, empty if all promises were kept
+	 */
+	List<String> run() {
+		beginTerm();
+		if (!commit(List.of(new FleetCommand.AdoptConfiguration(Fixtures.configuration(1), new byte[0])), false)) {
+			throw new IllegalStateException("no configuration");
+		}
+		for (int worker = 0; worker < WORKERS; worker++) {
+			addWorker("worker-" + worker, "address-" + worker);
+		}
+		for (int job = 1; job <= JOBS; job++) {
+			JobId id = Fixtures.job(job);
+			boolean urgent = chance(0.3);
+			at(this.random.nextLong(LAST_JOB_MILLIS), () -> submit(id, urgent));
+		}
+		while (this.nowMillis < END_MILLIS && !settled()) {
+			this.nowMillis += TICK_MILLIS;
+			while (!this.network.isEmpty() && this.network.peek().atMillis <= this.nowMillis) {
+				this.network.poll().action.run();
+			}
+			if (this.nowMillis < FAULTY_MILLIS) {
+				causeFaults();
+			}
+			else if (this.nowMillis == FAULTY_MILLIS) {
+				this.workers.forEach((worker) -> worker.sick = false);
+			}
+			this.workers.forEach((worker) -> worker.run(TICK_MILLIS));
+			this.workers.forEach(this::sendReport);
+			if (this.nowMillis >= this.pausedUntilMillis
+					&& (!this.queued.isEmpty() || this.nowMillis % IDLE_TURN_MILLIS == 0)) {
+				turn();
+			}
+		}
+		for (JobState job : this.state.unfinishedJobs()) {
+			this.checker.report("UNFINISHED: " + job.job());
+		}
+		for (TaskId task : this.checker.tasksDone()) {
+			boolean recorded = this.state.step(task).map((step) -> step.tasks().get(task.index()).done()).orElse(false);
+			boolean ended = this.state.job(task.job()).filter((job) -> job.phase().ended()).isPresent();
+			if (!recorded && !ended) {
+				this.checker.report("LOST: the acknowledged done end of " + task);
+			}
+		}
+		return this.checker.violations();
+	}
+
+	// Whether every job and every message has long been dealt with.
+	private boolean settled() {
+		return this.nowMillis > FAULTY_MILLIS && this.state.unfinishedJobs().isEmpty() && this.plans.size() == JOBS
+				&& this.workers.stream().allMatch(ModelWorker::settled);
+	}
+
+	private boolean chance(double probability) {
+		return this.random.nextDouble() < probability;
+	}
+
+	private void at(long atMillis, Runnable action) {
+		this.network.add(new Event(atMillis, ++this.events, action));
+	}
+
+	private void addWorker(String id, String address) {
+		// Each process starts later than the one before.
+		WorkerIncarnation incarnation = new WorkerIncarnation(new WorkerId(id), 1_000_000 + ++this.bornWorkers);
+		ModelWorker worker = new ModelWorker(incarnation, address, LISTED_ENDS, this.random, this, this::now);
+		worker.nextReportMillis = this.nowMillis;
+		this.workers.add(worker);
+		this.checker.note("worker " + incarnation + " at " + address);
+	}
+
+	private void submit(JobId job, boolean urgent) {
+		if (this.plans.containsKey(job)) {
+			return;
+		}
+		List<StepSpec> steps = new ArrayList<>();
+		boolean gang = chance(0.35);
+		steps.add(Fixtures.step(1 + this.random.nextInt(4), gang ? 4 : 1 + this.random.nextInt(4), gang));
+		if (chance(0.4)) {
+			steps.add(Fixtures.step(1 + this.random.nextInt(3), 2, false, 0));
+		}
+		JobPlan plan = Fixtures.plan(steps.toArray(StepSpec[]::new));
+		if (!leads() || !commit(List.of(new FleetCommand.AcceptJob(job, urgent ? "urgent" : "batch",
+				new AccountId("account"), plan, this.nowMillis)), false)) {
+			at(this.nowMillis + 300, () -> submit(job, urgent));
+			return;
+		}
+		this.plans.put(job, plan);
+		if (chance(0.1)) {
+			at(this.nowMillis + this.random.nextLong(6000), () -> cancel(job));
+		}
+	}
+
+	private void cancel(JobId job) {
+		if (!leads() || !commit(List.of(new FleetCommand.CancelJob(job)), false)) {
+			at(this.nowMillis + 300, () -> cancel(job));
+		}
+	}
+
+	StepSpec spec(TaskId task) {
+		return this.plans.get(task.job()).steps().get(task.step());
+	}
+
+	/**
+	 * Returns the tasks that must be done before a task may start.
+	 * @param task the task
+	 * @return the tasks of the steps that come first
+	 */
+	List<TaskId> dependencies(TaskId task) {
+		List<TaskId> dependencies = new ArrayList<>();
+		for (int step : spec(task).after()) {
+			for (int index = 0; index < this.plans.get(task.job()).steps().get(step).count(); index++) {
+				dependencies.add(new TaskId(task.job(), task.occurrence(), step, index));
+			}
+		}
+		return dependencies;
+	}
+
+	long workMillis() {
+		return MIN_WORK_MILLIS + this.random.nextLong(MAX_WORK_MILLIS - MIN_WORK_MILLIS);
+	}
+
+	List<ModelWorker.Run> gangMembers(TaskId task, int number) {
+		List<ModelWorker.Run> members = new ArrayList<>();
+		for (int index = 0; index < spec(task).count(); index++) {
+			for (ModelWorker worker : this.workers) {
+				ModelWorker.Run run = worker.up ? worker.runOf(task.member(index)) : null;
+				if (run != null && run.number == number) {
+					members.add(run);
+				}
+			}
+		}
+		return members;
+	}
+
+	void endOfMember(TaskId task, int number, RunOutcome how) {
+		for (int index = 0; index < spec(task).count(); index++) {
+			TaskId member = task.member(index);
+			for (ModelWorker worker : this.workers) {
+				if (!member.equals(task)) {
+					worker.endOfOtherMember(member, number, how);
+				}
+			}
+		}
+	}
+
+	private void causeFaults() {
+		if (chance(this.faultRate * 0.0008)) {
+			ModelWorker worker = anyWorker();
+			long until = this.nowMillis + 300 + this.random.nextLong(11_000);
+			boolean both = chance(0.6);
+			boolean out = both || chance(0.5);
+			if (out) {
+				worker.cutOutUntilMillis = until;
+			}
+			boolean in = both || !out;
+			if (in) {
+				worker.cutInUntilMillis = until;
+			}
+			this.checker
+				.note("cut " + worker.incarnation + " until " + until + (out ? " out" : "") + (in ? " in" : ""));
+		}
+		if (chance(this.faultRate * 0.0006)) {
+			ModelWorker worker = anyWorker();
+			crash(worker);
+		}
+		if (chance(this.faultRate * 0.0004)) {
+			drain(anyWorker());
+		}
+		if (chance(this.faultRate * 0.0004)) {
+			ModelWorker worker = anyWorker();
+			worker.sick = true;
+			at(this.nowMillis + 1000 + this.random.nextLong(8000), () -> worker.sick = false);
+		}
+		if (chance(this.faultRate * 0.0008)) {
+			changeLeader();
+		}
+		if (chance(this.faultRate * 0.001)) {
+			this.pausedUntilMillis = this.nowMillis + this.random.nextLong(900);
+		}
+	}
+
+	private ModelWorker anyWorker() {
+		List<ModelWorker> up = this.workers.stream().filter((worker) -> worker.up).toList();
+		return up.isEmpty() ? this.workers.getLast() : up.get(this.random.nextInt(up.size()));
+	}
+
+	private void crash(ModelWorker worker) {
+		if (!worker.up) {
+			return;
+		}
+		this.checker.note("crash of " + worker.incarnation);
+		worker.crash();
+		boolean sameId = chance(0.5);
+		String id = sameId ? worker.incarnation.worker().value() : "worker-n" + ++this.newNames;
+		at(this.nowMillis + 20 + this.random.nextLong(3000), () -> addWorker(id, worker.address));
+	}
+
+	private void drain(ModelWorker worker) {
+		worker.draining = true;
+		this.checker.note("drain of " + worker.incarnation);
+		at(this.nowMillis + 2000 + this.random.nextLong(4000), () -> {
+			if (worker.up && !worker.cutOut(this.nowMillis)) {
+				this.scheduler.ifPresent((current) -> current.markWorkerLeft(worker.incarnation.worker()));
+			}
+			at(this.nowMillis + this.random.nextLong(1500), () -> crash(worker));
+		});
+	}
+
+	private void sendReport(ModelWorker worker) {
+		if (!worker.up) {
+			return;
+		}
+		if (worker.outstanding > 0 && this.nowMillis - worker.sentMillis > ModelWorker.RESPONSE_TIMEOUT_MILLIS) {
+			worker.outstanding = 0;
+			worker.nextReportMillis = this.nowMillis + 50;
+		}
+		if (worker.outstanding > 0 || this.nowMillis < worker.nextReportMillis) {
+			return;
+		}
+		WorkerReport report = worker.report();
+		long sent = this.nowMillis;
+		worker.sentMillis = sent;
+		worker.nextReportMillis = this.nowMillis + 200;
+		long arrives = this.nowMillis + 1 + this.random.nextLong(30);
+		if (worker.cutOut(this.nowMillis)) {
+			if (chance(0.5)) {
+				return;
+			}
+			arrives = worker.cutOutUntilMillis + this.random.nextLong(2000);
+		}
+		else if (this.nowMillis < FAULTY_MILLIS) {
+			if (chance(0.01)) {
+				return;
+			}
+			if (chance(0.02)) {
+				arrives += this.random.nextLong(4000);
+			}
+		}
+		long atMillis = arrives;
+		at(atMillis, () -> this.queued.add(new Call(worker, report, sent, this.nowMillis)));
+	}
+
+	private boolean leads() {
+		return this.nowMillis >= this.leaderlessUntilMillis;
+	}
+
+	private void changeLeader() {
+		this.checker.note("change of leader");
+		this.undecided.filter((batch) -> chance(0.5)).ifPresent(this.state::apply);
+		this.undecided = Optional.empty();
+		this.scheduler = Optional.empty();
+		this.term += 1 + this.random.nextInt(2);
+		this.leaderlessUntilMillis = this.nowMillis + (chance(0.3) ? 0 : this.random.nextLong(1500));
+	}
+
+	private void beginTerm() {
+		if (this.scheduler.isEmpty()) {
+			this.scheduler = Optional.of(new FleetScheduler(this.state, TIMINGS, this.term, nanos(this.nowMillis)));
+			this.sequence = this.state.lastSequence(this.term);
+			this.checker.note("term " + this.term + " from " + this.sequence);
+		}
+	}
+
+	private static long nanos(long millis) {
+		return Duration.ofMillis(millis).toNanos();
+	}
+
+	// The turn of the fleet's event loop.
+	private void turn() {
+		List<Call> calls = List.copyOf(this.queued);
+		this.queued.clear();
+		if (!leads()) {
+			calls.forEach((call) -> at(this.nowMillis + 5, () -> call.worker.refused(call.report.sequence())));
+			return;
+		}
+		beginTerm();
+		FleetScheduler current = this.scheduler.orElseThrow();
+		List<FleetCommand> commands = new ArrayList<>();
+		for (Call call : calls) {
+			commands.addAll(current.receiveReport(call.report, nanos(call.arrivedMillis)).orElse(List.of()));
+		}
+		commands.addAll(current.detectLostRuns(nanos(this.nowMillis)));
+		boolean faulty = this.nowMillis < FAULTY_MILLIS;
+		if (!commit(commands, faulty)) {
+			return;
+		}
+		if (faulty && chance(this.faultRate * 0.0005)) {
+			changeLeader();
+			return;
+		}
+		if (!commit(current.placeTasks(nanos(this.nowMillis), this.nowMillis), faulty)) {
+			return;
+		}
+		int answered = (faulty && chance(this.faultRate * 0.001)) ? this.random.nextInt(calls.size() + 1)
+				: Integer.MAX_VALUE;
+		for (int index = 0; index < Math.min(answered, calls.size()); index++) {
+			respond(calls.get(index), current.respond(calls.get(index).report));
+		}
+		if (answered < Integer.MAX_VALUE) {
+			changeLeader();
+		}
+		current.drainEvents();
+	}
+
+	private void respond(Call call, HeartbeatResponse response) {
+		ModelWorker worker = call.worker;
+		boolean faulty = this.nowMillis < FAULTY_MILLIS;
+		if (this.nowMillis < worker.cutInUntilMillis || (faulty && chance(0.01))) {
+			return;
+		}
+		long delay = 1 + this.random.nextLong(30) + ((faulty && chance(0.03)) ? this.random.nextLong(1500) : 0);
+		at(this.nowMillis + delay, () -> {
+			worker.receive(response, call.sentMillis);
+			worker.answered(call.report.sequence(), response.retryMillis());
+		});
+	}
+
+	private boolean commit(List<FleetCommand> commands, boolean mayFail) {
+		beginTerm();
+		if (chance(0.3)) {
+			applyUndecided();
+		}
+		if (commands.isEmpty()) {
+			return true;
+		}
+		FleetBatch batch = new FleetBatch(this.term, this.sequence + 1, commands);
+		double fate = mayFail ? this.random.nextDouble() : 1;
+		if (fate < this.faultRate * 0.003) {
+			this.checker.note("unknown outcome of " + commands);
+			applyUndecided();
+			if (fate < this.faultRate * 0.001) {
+				this.state.apply(batch);
+			}
+			else if (fate < this.faultRate * 0.002) {
+				this.undecided = Optional.of(batch);
+			}
+			this.scheduler = Optional.empty();
+			if (chance(0.5)) {
+				changeLeader();
+			}
+			return false;
+		}
+		applyUndecided();
+		if (!this.state.apply(batch)) {
+			this.scheduler = Optional.empty();
+			return false;
+		}
+		commands.forEach((command) -> this.checker.note("decided " + command));
+		this.sequence++;
+		return true;
+	}
+
+	private void applyUndecided() {
+		this.undecided
+			.ifPresent((batch) -> this.checker.note("late " + this.state.apply(batch) + " " + batch.sequence()));
+		this.undecided = Optional.empty();
+	}
+
+	private record Call(ModelWorker worker, WorkerReport report, long sentMillis, long arrivedMillis) {
+
+	}
+
+	private record Event(long atMillis, long order, Runnable action) {
+
+	}
+
+}
