Keep an inherited run that late reports do not list

What callers saw: a task may run twice at the same time after a change of leader, and the done end of its first run is acknowledged after the second start.

Cause: a report may arrive seconds late. A new leader knows no sequence numbers, so it accepts reports that their worker sent before it received the start of a run. Three of them in a row took the run for lost if it was to stop, as the member of an incomplete gang is.

Evidence: the new test failed before: the run was no longer known on the first worker, though its start had been sent there.

Change: while a report may have been sent in an earlier term, for as long as the inherited leases, a run of an earlier leader is not lost by reports without it.

Why it works: reports of one term are ordered by their sequence numbers, and a worker sends its next report after it has handled or dropped the response to the one before. So only runs whose start the same leader sent, and inherited ones after that time, are proved missing by later reports. Price: a start of an earlier leader that never arrived and must not run any more holds its room for up to one lease, where three reports sufficed.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -61,6 +61,12 @@
 	 */
 	private final Map<TaskId, Integer> unsentStarts = new HashMap<>();
 
+	/** The runs that earlier leaders started. */
+	private final Map<TaskId, Integer> inheritedRuns = new HashMap<>();
+
+	/** Until then a report may have been sent before the start of an inherited run. */
+	private final long earlierReportsEndNanos;
+
 	private Set<TaskId> preempted = Set.of();
 
 	private Set<JobId> waitingJobs = Set.of();
@@ -78,6 +84,8 @@
 		this.term = term;
 		this.registry = new WorkerRegistry(nowNanos, timings.maxLeaseNanos());
 		this.runMover = new StalledRunMover(state, this.registry);
+		this.earlierReportsEndNanos = nowNanos + timings.maxLeaseNanos();
+		state.incarnationsInUse().forEach((incarnation) -> this.inheritedRuns.putAll(state.runsOn(incarnation)));
 	}
 
 	/**
@@ -118,7 +126,7 @@
 			if (worker.reportsRunning(task, run) || ended.contains(task)) {
 				worker.clearMissing(task);
 			}
-			else if (listsAllEnds(report) && !shouldRun(task)
+			else if (provesMissing(report, task, run, nowNanos) && !shouldRun(task)
 					&& (isUnsent(task, run) || worker.incrementMissing(task) >= MAX_MISSING_REPORTS)) {
 				commands.add(new FleetCommand.EndRun(task, run, report.life(), RunOutcome.LOST, ""));
 			}
@@ -126,6 +134,12 @@
 		return commands;
 	}
 
+	// Whether a report without a run can only mean that the worker does not have it.
+	private boolean provesMissing(WorkerReport report, TaskId task, int run, long nowNanos) {
+		boolean inherited = Integer.valueOf(run).equals(this.inheritedRuns.get(task));
+		return listsAllEnds(report) && (!inherited || nowNanos - this.earlierReportsEndNanos > 0);
+	}
+
 	private static boolean listsAllEnds(WorkerReport report) {
 		return report.ended().size() < MAX_LISTED_ENDS;
 	}
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
@@ -374,4 +374,25 @@
 		assertThat(this.state.unfinishedJobs()).isEmpty();
 	}
 
+	// Guards against a second run of a task beside the first, after reports from before
+	// its start reached a later leader.
+	@Test
+	public void lateReportsFromBeforeAStartDoNotMakeItsRunLost() {
+		List<WorkerReport> late = new ArrayList<>();
+		for (int report = 0; report < 3; report++) {
+			late.add(Fixtures.report(ONE, ++this.reports, false, List.of(), List.of()));
+		}
+		accept(1, "batch", Fixtures.plan(Fixtures.step(2, 8, true)));
+		report(ONE, List.of());
+		report(TWO, List.of());
+		assertThat(report(ONE, List.of()).starts()).hasSize(1);
+		TaskId onTwo = this.state.runsOn(TWO).keySet().iterator().next();
+		startNextTerm();
+		report(TWO, List.of(), new ReportedEnd(1, onTwo, 1, RunOutcome.REFUSED, ""));
+		report(Fixtures.incarnation(3), List.of());
+		late.forEach(this::report);
+		assertThat(this.state.runsOn(ONE)).containsValue(1);
+		assertThat(report(TWO, List.of()).starts()).isEmpty();
+	}
+
 }
