Apply the attempts of a queue to jobs when a configuration is adopted

What callers saw: a task may start once more after it has failed as often as its queue allows, if the queue was missing from the configuration when the last run failed and is back in a later version, or if a version lowers the attempts.

Cause: the phase of a job was decided only when a run ended. Without its queue a job has no limit, so it went on, and nothing looked at it again when the queue was back.

Evidence: the new test failed before, the job was still running. Found by reading.

Change: adopting a configuration decides the phase of each unfinished job.

Why it works: a job that has used up its attempts has failed before the next placement on that configuration. No stored bytes change. Replicas of an earlier version decide the same at the next end of a run of the job.

--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -88,6 +88,7 @@
 		if (adopt.configuration().version() > version()) {
 			this.configuration = Optional.of(new ConfigurationIndex(adopt.configuration()));
 			this.document = adopt.document();
+			List.copyOf(this.unfinished.values()).forEach(this::updatePhase);
 		}
 	}
 
@@ -112,6 +113,10 @@
 		}
 		removeRun(end.task(), end.life());
 		step.end(end.task().index(), end.how(), end.checkpoint());
+		updatePhase(job);
+	}
+
+	private void updatePhase(JobState job) {
 		job.updatePhase(maxAttempts(job));
 		if (job.phase().ended()) {
 			this.unfinished.remove(job.job());
--- a/fleet/src/test/java/io/verbenatrack/fleet/state/FleetStateTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/FleetStateTests.java
@@ -6,6 +6,7 @@
 import org.testng.annotations.Test;
 
 import io.verbenatrack.fleet.Fixtures;
+import io.verbenatrack.fleet.model.FleetConfiguration;
 import io.verbenatrack.fleet.model.JobPhase;
 import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.RunOutcome;
@@ -185,4 +186,21 @@
 		assertThat(copy.step(task(0, 0)).orElseThrow().done()).isTrue();
 	}
 
+	// Guards against starts beyond the attempts once a removed queue is back.
+	@Test
+	public void attemptsUsedUpWhileTheQueueWasRemovedCountOnceItIsBack() {
+		accept(Fixtures.plan(Fixtures.step(1, 1, false)));
+		start(task(0, 0), 1);
+		end(task(0, 0), 1, RunOutcome.FAILED);
+		start(task(0, 0), 2);
+		FleetConfiguration full = Fixtures.configuration(7);
+		apply(new FleetCommand.AdoptConfiguration(
+				new FleetConfiguration(6, List.of(), full.pools(), full.limits(), full.accounts()), new byte[0]));
+		end(task(0, 0), 2, RunOutcome.FAILED);
+		assertThat(phase()).isEqualTo(JobPhase.RUNNING);
+		apply(new FleetCommand.AdoptConfiguration(full, new byte[0]));
+		assertThat(phase()).isEqualTo(JobPhase.FAILED);
+		assertThat(this.state.unfinishedJobs()).isEmpty();
+	}
+
 }
