--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -36,6 +36,12 @@
 	 */
 	private static final int MAX_MISSING_REPORTS = 3;
 
+	/**
+	 * A worker lists at most this many ends at once. A run that such a full list lacks
+	 * may have ended all the same.
+	 */
+	private static final int MAX_LISTED_ENDS = 500;
+
 	private static final int WHOLE_PERCENT = 100;
 
 	private final FleetState state;
@@ -55,6 +61,12 @@
 	 */
 	private final Map<TaskId, Integer> unsentStarts = new HashMap<>();
 
+	/** The runs that earlier leaders started. */
+	private final Map<TaskId, Integer> inheritedRuns = new HashMap<>();
+
+	/** Until then a report may have been sent before the start of an inherited run. */
+	private final long earlierReportsEndNanos;
+
 	private Set<TaskId> preempted = Set.of();
 
 	private Set<JobId> waitingJobs = Set.of();
@@ -72,6 +84,8 @@
 		this.term = term;
 		this.registry = new WorkerRegistry(nowNanos, timings.maxLeaseNanos());
 		this.runMover = new StalledRunMover(state, this.registry);
+		this.earlierReportsEndNanos = nowNanos + timings.maxLeaseNanos();
+		state.incarnationsInUse().forEach((incarnation) -> this.inheritedRuns.putAll(state.runsOn(incarnation)));
 	}
 
 	/**
@@ -113,7 +127,7 @@
 			if (worker.reportsRunning(task, run) || ended.contains(task)) {
 				worker.clearMissing(task);
 			}
-			else if (!shouldRun(task)
+			else if (provesMissing(report, task, run, nowNanos) && !shouldRun(task)
 					&& (isUnsent(task, run) || worker.incrementMissing(task) >= MAX_MISSING_REPORTS)) {
 				commands.add(new FleetCommand.EndRun(task, run, report.life(), RunOutcome.LOST, ""));
 			}
@@ -121,6 +135,16 @@
 		return commands;
 	}
 
+	// Whether a report without a run can only mean that the worker does not have it.
+	private boolean provesMissing(WorkerReport report, TaskId task, int run, long nowNanos) {
+		boolean inherited = Integer.valueOf(run).equals(this.inheritedRuns.get(task));
+		return listsAllEnds(report) && (!inherited || nowNanos - this.earlierReportsEndNanos > 0);
+	}
+
+	private static boolean listsAllEnds(WorkerReport report) {
+		return report.ended().size() < MAX_LISTED_ENDS;
+	}
+
 	/**
 	 * Marks a worker as left, so that it gets no new tasks.
 	 * @param worker the worker
@@ -253,7 +277,7 @@
 			if (!shouldRun(task)) {
 				stops.add(new HeartbeatResponse.Stop(task, run));
 			}
-			else if (!listed) {
+			else if (!listed && listsAllEnds(report)) {
 				starts.add(start(task, run));
 				this.unsentStarts.remove(task);
 			}
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
@@ -495,4 +495,46 @@
 		assertThat(report(ONE, runs).stops()).isEmpty();
 	}
 
+	// Guards against a second run of a task whose done end was beyond a full list of
+	// ends.
+	@Test
+	public void runWhoseEndMayBeBeyondAFullListIsNotLost() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		report(ONE, List.of(running(1, 0, 1)));
+		long listed = 0;
+		for (int report = 0; report < 4; report++) {
+			List<ReportedEnd> ends = new ArrayList<>();
+			while (ends.size() < 500) {
+				ends.add(new ReportedEnd(++listed, task(9, 0), 1, RunOutcome.REFUSED, ""));
+			}
+			report(Fixtures.report(ONE, ++this.reports, true, List.of(), ends));
+			assertThat(report(TWO, List.of()).starts()).as("after report %d", report).isEmpty();
+		}
+		report(Fixtures.report(ONE, ++this.reports, true, List.of(),
+				List.of(new ReportedEnd(++listed, task(1, 0), 1, RunOutcome.DONE, ""))));
+		assertThat(this.state.unfinishedJobs()).isEmpty();
+	}
+
+	// Guards against a second run of a task beside the first, after reports from before
+	// its start reached a later leader.
+	@Test
+	public void lateReportsFromBeforeAStartDoNotMakeItsRunLost() {
+		List<WorkerReport> late = new ArrayList<>();
+		for (int report = 0; report < 3; report++) {
+			late.add(Fixtures.report(ONE, ++this.reports, false, List.of(), List.of()));
+		}
+		accept(1, "batch", Fixtures.plan(Fixtures.step(2, 8, true)));
+		report(ONE, List.of());
+		report(TWO, List.of());
+		assertThat(report(ONE, List.of()).starts()).hasSize(1);
+		TaskId onTwo = this.state.runsOn(TWO).keySet().iterator().next();
+		startNextTerm();
+		report(TWO, List.of(), new ReportedEnd(1, onTwo, 1, RunOutcome.REFUSED, ""));
+		report(Fixtures.incarnation(3), List.of());
+		late.forEach(this::report);
+		assertThat(this.state.runsOn(ONE)).containsValue(1);
+		assertThat(report(TWO, List.of()).starts()).isEmpty();
+	}
+
 }
