--- a/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
+++ b/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
@@ -123,6 +123,19 @@
 		await().atMost(TIMEOUT).until(() -> this.nodes.get(lost).machine.text().equals("before "));
 	}
 
+	// Guards against a new incarnation that never votes again, since its replies do not
+	// reach a leader that its settings do not name.
+	@Test(groups = "known-red")
+	public void replicaWithEmptyDiskJoinsLeaderThatIsNoSeed() throws Exception {
+		Node leader = leader();
+		propose(leader, "before");
+		ReplicaPeer seed = this.peers.get((leader.index + 1) % 3);
+		ReplicaPeer newcomer = new ReplicaPeer(new InstanceId("r3"), "127.0.0.1", freePort());
+		Node joining = Node.start(newcomer, List.of(seed), Files.createTempDirectory("replica3"));
+		this.nodes.add(joining);
+		await().atMost(TIMEOUT).until(() -> joining.machine.text().equals("before "));
+	}
+
 	@Test
 	public void instanceWithoutReplicaRenewsConfigurationLease() {
 		ConfigurationLease lease = new ConfigurationLease(MonotonicClock.system(), (revision, declarations) -> {
@@ -155,13 +168,21 @@
 		}
 
 		private static Node start(List<ReplicaPeer> peers, int index, Path folder) throws IOException {
-			Node node = new Node(index);
-			ReplicaSettings settings = new ReplicaSettings("test", peers.get(index), peers, folder);
+			return start(new Node(index), peers.get(index), peers, folder);
+		}
+
+		private static Node start(ReplicaPeer self, List<ReplicaPeer> seeds, Path folder) throws IOException {
+			return start(new Node(-1), self, seeds, folder);
+		}
+
+		private static Node start(Node node, ReplicaPeer self, List<ReplicaPeer> seeds, Path folder)
+				throws IOException {
+			ReplicaSettings settings = new ReplicaSettings("test", self, seeds, folder);
 			node.replica = GrpcReplica.start(settings, node.machine,
 					() -> new ConfigurationAuthority.Applied("", new Revision(1, 5), ByteString.EMPTY),
 					(notice, detail) -> {
 					}, MonotonicClock.system());
-			node.server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", peers.get(index).port()))
+			node.server = NettyServerBuilder.forAddress(new InetSocketAddress(self.host(), self.port()))
 				.addService(node.replica.service())
 				.build()
 				.start();
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
@@ -250,6 +250,62 @@
 		assertThat(this.core.membership().getLearnersList()).isEmpty();
 	}
 
+	private void passSecondWithAnswersOf(String... followers) {
+		for (int tick = 0; tick < 10; tick++) {
+			this.now += SECOND / 10;
+			acknowledgeAll(followers);
+			run(new ReplicaEvent.Tick());
+		}
+	}
+
+	// Guards against a link that is full of entries for a replica which does not answer:
+	// its new incarnation at the same address got nothing and did not vote again.
+	@Test(groups = "known-red")
+	public void entriesAreNotSentAgainToVoterThatDoesNotAnswer() {
+		becomeLeader();
+		acknowledge("b", 3);
+		run(new ReplicaEvent.Proposed(7, ByteString.copyFrom(new byte[50_000])));
+		this.sent.clear();
+		passSecondWithAnswersOf("b");
+		assertThat(this.sent).filteredOn((message) -> message.getTo().equals("c/1")).hasSizeGreaterThan(5);
+		assertThat(this.sent)
+			.filteredOn((message) -> message.getTo().equals("c/1") && message.getAppendRequest().getEntriesCount() > 0)
+			.hasSizeLessThan(2);
+	}
+
+	// Guards against the same full link, once the new incarnation is known.
+	@Test(groups = "known-red")
+	public void nothingIsSentToEarlierIncarnationOfLearner() {
+		becomeLeader();
+		acknowledge("b", 3);
+		ReplicaMember replacement = member("c").toBuilder().setIncarnation("2").build();
+		receive(ReplicaMessage.newBuilder()
+			.setFrom("c/2")
+			.setTo("a")
+			.setAnnouncement(Announcement.newBuilder().setMember(replacement)));
+		assertThat(this.core.membership().getLearnersList()).containsExactly(replacement);
+		acknowledge("b", 4);
+		this.sent.clear();
+		passSecondWithAnswersOf("b");
+		assertThat(this.sent).filteredOn((message) -> message.getTo().equals("c/2")).hasSizeGreaterThan(5);
+		assertThat(this.sent).noneMatch((message) -> message.getTo().equals("c/1"));
+	}
+
+	// Guards against a new leader that removes a voter which has had no time to answer.
+	@Test(groups = "known-red")
+	public void voterIsNotSilentWhenLeadershipBegins() {
+		Membership withLearner = THREE_VOTERS.toBuilder().addLearners(member("d")).build();
+		List<LogEntry> entries = List.of(entry(1, 1).setMembership(withLearner).build(), entry(2, 2).build());
+		HardState hard = HardState.newBuilder().setCluster(CLUSTER).setTerm(3).build();
+		this.now = 100 * SECOND;
+		start(MembershipPolicy.DEFAULT, new RecoveredLog(hard, SnapshotHeader.getDefaultInstance(), 0, 0, entries));
+		becomeLeader();
+		acknowledge("b", 3);
+		acknowledge("d", 3);
+		passSecondWithAnswersOf("b", "d");
+		assertThat(this.core.membership()).isEqualTo(withLearner);
+	}
+
 	@Test
 	public void followerForwardsAnnouncementToLeaderOnce() {
 		receive(from("b", 9).setAppendRequest(AppendRequest.newBuilder().setPreviousIndex(2).setPreviousTerm(2)));
