Answer a leader that the own log and settings do not name

Cause: a replica with an empty disk knows the other replicas only from its settings, which name three. It built the recipient of its reply to the leader from the sender's identifier alone, and the transport silently dropped what has no address. So the leader never learned that the log of the new incarnation is empty, probed it for ever, and did not make it a voter again. The next lost disk cost another voter, and then the quorum.

GrpcReplicaTests.replicaWithEmptyDiskJoinsLeaderThatIsNoSeed timed out after 20 s before and passes now.

Why it works: each message names where its sender receives messages, so that an answer needs neither the log nor the settings.

--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaState.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaState.java
@@ -175,6 +175,7 @@
 		return ReplicaMessage.newBuilder()
 			.setCluster(this.hardState.getCluster())
 			.setFrom(this.self.text())
+			.setFromAddress(this.configuration.self().getAddress())
 			.setTo(name)
 			.setTerm(term());
 	}
@@ -194,6 +195,7 @@
 			.orElseGet(() -> ReplicaMember.newBuilder()
 				.setInstance(sender.instance().value())
 				.setIncarnation(sender.incarnation())
+				.setAddress(message.getFromAddress())
 				.build());
 	}
 
--- a/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
+++ b/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
@@ -125,7 +125,7 @@
 
 	// Guards against a new incarnation that never votes again, since its replies do not
 	// reach a leader that its settings do not name.
-	@Test(groups = "known-red")
+	@Test
 	public void replicaWithEmptyDiskJoinsLeaderThatIsNoSeed() throws Exception {
 		Node leader = leader();
 		propose(leader, "before");
