--- a/control/src/main/java/io/verbenatrack/control/driver/LoggingReplicaListener.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/LoggingReplicaListener.java
@@ -31,6 +31,8 @@
 			case STEPPED_DOWN -> LogEvent.LEADERSHIP_ENDED;
 			case OTHER_CLUSTER -> LogEvent.OTHER_CLUSTER_HEARD;
 			case REPLACING -> LogEvent.REPLICA_REPLACED;
+			case JOINED -> LogEvent.REPLICA_JOINED;
+			case LEARNER_BEHIND -> LogEvent.LEARNER_BEHIND;
 			case MEMBERSHIP -> LogEvent.MEMBERSHIP_CHANGED;
 			case DISK_FAILED -> LogEvent.DISK_FAILED;
 		};
--- a/control/src/main/java/io/verbenatrack/control/replica/ClusterFormation.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ClusterFormation.java
@@ -178,6 +178,7 @@
 	void join(String cluster) {
 		this.state.transition(RoleChange.FORMED);
 		this.state.persistHardState(this.state.hardState.toBuilder().setCluster(cluster).build());
+		this.state.notifyListener(ReplicaNotice.JOINED, cluster);
 	}
 
 }
--- a/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
@@ -1,6 +1,10 @@
 package io.verbenatrack.control.replica;
 
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 import io.verbenatrack.control.ReplicaId;
@@ -21,6 +25,9 @@
 
 	private final Leadership leadership;
 
+	/** When each learner was last seen to have caught up, or reported as behind. */
+	private final Map<ReplicaId, Long> learnersSinceNanos = new TreeMap<>();
+
 	MembershipRepair(ReplicaState state, Leadership leadership) {
 		this.state = state;
 		this.leadership = leadership;
@@ -52,6 +59,7 @@
 	}
 
 	void tick() {
+		reportLearnersBehind();
 		if (changePending() || this.state.role != ReplicaRole.LEADER) {
 			return;
 		}
@@ -67,6 +75,38 @@
 		}
 	}
 
+	private void reportLearnersBehind() {
+		List<ReplicaMember> learners = this.state.membership().getLearnersList();
+		this.learnersSinceNanos.keySet().retainAll(learners.stream().map(ReplicaId::of).toList());
+		for (ReplicaMember learner : learners) {
+			ReplicaId id = ReplicaId.of(learner);
+			long since = this.learnersSinceNanos.computeIfAbsent(id, (added) -> this.state.nowNanos);
+			boolean caughtUp = caughtUp(learner);
+			if (!caughtUp && this.state.nowNanos - since >= replaceAfterNanos()) {
+				this.state.notifyListener(ReplicaNotice.LEARNER_BEHIND, describe(id));
+				this.learnersSinceNanos.put(id, this.state.nowNanos);
+			}
+			else if (caughtUp) {
+				this.learnersSinceNanos.put(id, this.state.nowNanos);
+			}
+		}
+	}
+
+	private String describe(ReplicaId learner) {
+		return learner.text()
+				+ this.leadership.follower(learner)
+					.map((progress) -> ", mode " + progress.mode + ", has " + progress.matchIndex + " of "
+							+ this.state.commitIndex + " entries, last answered "
+							+ Duration.ofNanos(this.state.nowNanos - this.leadership.lastContactNanos(progress))
+								.toMillis()
+							+ " ms ago")
+					.orElse("");
+	}
+
+	private long replaceAfterNanos() {
+		return this.state.configuration.membershipPolicy().replaceAfter().toNanos();
+	}
+
 	private boolean caughtUp(ReplicaMember learner) {
 		long timeout = this.state.configuration.timings().electionTimeout().toNanos();
 		return this.leadership.follower(ReplicaId.of(learner))
@@ -107,9 +147,9 @@
 	}
 
 	private boolean isSilent(ReplicaMember voter) {
-		long replaceAfterNanos = this.state.configuration.membershipPolicy().replaceAfter().toNanos();
 		return !ReplicaId.of(voter).equals(this.state.self) && this.leadership.follower(ReplicaId.of(voter))
-			.filter((progress) -> this.state.nowNanos - this.leadership.lastContactNanos(progress) < replaceAfterNanos)
+			.filter((
+					progress) -> this.state.nowNanos - this.leadership.lastContactNanos(progress) < replaceAfterNanos())
 			.isEmpty();
 	}
 
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaNotice.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaNotice.java
@@ -20,6 +20,12 @@
 	/** A replica that lost its disk is being replaced by its new incarnation. */
 	REPLACING,
 
+	/** This replica, whose disk is empty, joined an existing cluster. */
+	JOINED,
+
+	/** A learner has not caught up for long, so that it cannot become a voter. */
+	LEARNER_BEHIND,
+
 	/** A membership took effect. */
 	MEMBERSHIP,
 
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
@@ -43,6 +43,8 @@
 
 	private final List<ReplicaMessage> sent = new ArrayList<>();
 
+	private final List<ReplicaNotice> notices = new ArrayList<>();
+
 	private ReplicaCore core;
 
 	private long now;
@@ -51,6 +53,7 @@
 	void startReplicaInTermThree() {
 		this.now = SECOND;
 		this.sent.clear();
+		this.notices.clear();
 		List<LogEntry> entries = List.of(entry(1, 1).setMembership(THREE_VOTERS).build(), entry(2, 2).build());
 		HardState hard = HardState.newBuilder().setCluster(CLUSTER).setTerm(3).build();
 		start(MembershipPolicy.DEFAULT, new RecoveredLog(hard, SnapshotHeader.getDefaultInstance(), 0, 0, entries));
@@ -79,6 +82,7 @@
 		for (ReplicaEffect effect : this.core.flush()) {
 			switch (effect) {
 				case ReplicaEffect.Send send -> this.sent.add(send.message());
+				case ReplicaEffect.Notify notify -> this.notices.add(notify.notice());
 				case ReplicaEffect.Persist persist -> run(new ReplicaEvent.Synced(persist.ticket()));
 				default -> {
 				}
@@ -310,6 +314,19 @@
 			.anyMatch((message) -> message.getTo().equals("c/1") && message.getAppendRequest().getEntriesCount() > 0);
 	}
 
+	// Guards against a cluster that is one loss from stopping without a log line.
+	@Test
+	public void learnerThatDoesNotCatchUpIsReported() {
+		becomeLeader();
+		acknowledge("b", 3);
+		announce("d");
+		acknowledge("b", 4);
+		for (int second = 0; second < 17; second++) {
+			passSecondWithAnswersOf("b");
+		}
+		assertThat(this.notices).filteredOn(ReplicaNotice.LEARNER_BEHIND::equals).hasSize(2);
+	}
+
 	// Guards against a new leader that removes a voter which has had no time to answer.
 	@Test
 	public void voterIsNotSilentWhenLeadershipBegins() {
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -107,6 +107,15 @@
 	DISK_FAILED(2007, System.Logger.Level.ERROR, "The disk of the control log failed, so this replica stepped down.",
 			"Free space on the disk or replace it, then restart the instance."),
 
+	/** A replica with an empty disk joined an existing cluster. */
+	REPLICA_JOINED(2008, System.Logger.Level.INFO, "This replica, whose disk was empty, joined an existing cluster.",
+			"Nothing to do."),
+
+	/** A learner does not become a voter. */
+	LEARNER_BEHIND(2009, System.Logger.Level.WARNING,
+			"A replica that lost its disk or is new has not caught up for long, so that it does not vote.",
+			"Check that it runs and that both replicas reach each other; another loss may stop the cluster."),
+
 	/** A gang on borrowed accelerators is stopped to free them. */
 	GANG_RECLAIMED(3001, System.Logger.Level.INFO,
 			"A gang on borrowed accelerators is checkpointed and stopped to free them.",
