Announce a lost replica to every instance that may know the cluster

What callers may see: as before, a replica that lost its disk never votes again, and the next lost disk may take the quorum.

Cause: a replica that joined and whose leader was lost before the others knew of it announced itself to the voters of its log, which is empty. A replica with an empty disk announced itself to the instances in its settings only, though the leader kept contacting its earlier incarnation.

Change: it announces itself to the voters of its log, to the instances in its settings and to the last replica that addressed its earlier incarnation.

Evidence: ReplicaCoreTests.joinedReplicaWithEmptyLogAnnouncesItself and replicaAnnouncesItselfToSenderOfMisaddressedMessage failed before and pass now.

--- a/control/src/main/java/io/verbenatrack/control/replica/ClusterFormation.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ClusterFormation.java
@@ -1,8 +1,9 @@
 package io.verbenatrack.control.replica;
 
 import java.time.Duration;
-import java.util.List;
+import java.util.Collection;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 import io.verbenatrack.control.ReplicaId;
@@ -50,6 +51,9 @@
 
 	private boolean existingClusterSeen;
 
+	/** A replica of the existing cluster, which knows its leader. */
+	private Optional<ReplicaMember> misaddressedSender = Optional.empty();
+
 	private boolean announced;
 
 	private boolean forming;
@@ -62,7 +66,7 @@
 	void tick() {
 		if (this.state.role != ReplicaRole.UNFORMED) {
 			if (lostLeaderContact() && announcementDue()) {
-				announce(this.state.membership().getVotersList());
+				announce();
 			}
 			return;
 		}
@@ -71,7 +75,7 @@
 		}
 		formWhenReady();
 		if (!this.forming && announcementDue()) {
-			announce(this.state.configuration.initialMembers());
+			announce();
 		}
 	}
 
@@ -85,12 +89,22 @@
 		return !this.announced || this.state.nowNanos - this.lastAnnouncedNanos >= interval;
 	}
 
-	private void announce(List<ReplicaMember> receivers) {
+	// The log may be empty or name replicas that have moved since; the settings may name
+	// none that is left.
+	private Collection<ReplicaMember> receivers() {
+		Map<String, ReplicaMember> receivers = new TreeMap<>();
+		this.misaddressedSender.ifPresent((sender) -> receivers.put(sender.getInstance(), sender));
+		this.state.configuration.initialMembers().forEach((member) -> receivers.put(member.getInstance(), member));
+		this.state.membership().getVotersList().forEach((member) -> receivers.put(member.getInstance(), member));
+		return receivers.values();
+	}
+
+	private void announce() {
 		this.announced = true;
 		this.lastAnnouncedNanos = this.state.nowNanos;
 		Announcement.Builder announcement = Announcement.newBuilder().setMember(this.state.configuration.self());
 		this.announcedMembers.values().forEach((member) -> announcement.addHeard(ReplicaId.of(member).text()));
-		for (ReplicaMember receiver : receivers) {
+		for (ReplicaMember receiver : receivers()) {
 			if (!isSelf(receiver)) {
 				ReplicaMember byName = receiver.toBuilder().clearIncarnation().build();
 				this.state.send(byName, this.state.message(byName).setAnnouncement(announcement));
@@ -136,11 +150,21 @@
 	}
 
 	/**
-	 * Records that an existing cluster knows another incarnation of this replica.
+	 * Records that an existing cluster knows another incarnation of this replica, and
+	 * whom to ask there.
 	 * @param message a message to another incarnation of this replica
 	 */
 	void handleMisaddressed(ReplicaMessage message) {
-		this.existingClusterSeen |= message.getCluster().startsWith(this.state.configuration.clusterName() + "-");
+		if (!message.getCluster().startsWith(this.state.configuration.clusterName() + "-")) {
+			return;
+		}
+		this.existingClusterSeen = true;
+		if (!message.getFromAddress().isEmpty()) {
+			this.misaddressedSender = Optional.of(ReplicaMember.newBuilder()
+				.setInstance(ReplicaId.parse(message.getFrom()).instance().value())
+				.setAddress(message.getFromAddress())
+				.build());
+		}
 	}
 
 	private void form() {
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
@@ -314,6 +314,37 @@
 			.anyMatch((message) -> message.getTo().equals("c/1") && message.getAppendRequest().getEntriesCount() > 0);
 	}
 
+	// Guards against a replica that joined a cluster whose next leader does not know it,
+	// and
+	// whose empty log names nobody to ask.
+	@Test
+	public void joinedReplicaWithEmptyLogAnnouncesItself() {
+		HardState hard = HardState.newBuilder().setCluster(CLUSTER).setTerm(3).build();
+		start(MembershipPolicy.DEFAULT, new RecoveredLog(hard, SnapshotHeader.getDefaultInstance(), 0, 0, List.of()));
+		this.sent.clear();
+		this.now += 4 * SECOND;
+		run(new ReplicaEvent.Tick());
+		assertThat(this.sent).filteredOn(ReplicaMessage::hasAnnouncement)
+			.extracting(ReplicaMessage::getTo)
+			.containsExactly("b", "c");
+	}
+
+	// Guards against a replica with an empty disk whose settings name no instance of the
+	// cluster, though the leader keeps contacting its earlier incarnation.
+	@Test
+	public void replicaAnnouncesItselfToSenderOfMisaddressedMessage() {
+		start(new MembershipPolicy(3, false, Duration.ofSeconds(8)), RecoveredLog.EMPTY);
+		receive(from("x", 9).setTo("a/0")
+			.setFromAddress("x-host:1")
+			.setAppendRequest(AppendRequest.getDefaultInstance()));
+		this.sent.clear();
+		this.now += SECOND;
+		run(new ReplicaEvent.Tick());
+		assertThat(this.sent).filteredOn(ReplicaMessage::hasAnnouncement)
+			.extracting(ReplicaMessage::getTo)
+			.containsExactly("b", "c", "x");
+	}
+
 	// Guards against a cluster that is one loss from stopping without a log line.
 	@Test
 	public void learnerThatDoesNotCatchUpIsReported() {
