Replace a voter that never answered its leader after a short grace

What callers may see: with each change of the leader the replacement of a dead voter began anew, 2.4 s on the platform, while the time in which another loss must be borne ran on.

Change: a voter that has never answered this leader has three election timeouts, 1.5 s; one that did answer has the whole time, as before.

Evidence: ReplicaCoreTests.voterThatNeverAnsweredIsReplacedSoon failed before and passes now, and voterIsNotSilentWhenLeadershipBegins passes still.

--- a/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
@@ -21,6 +21,9 @@
 	/** The token of a change that the leader makes itself and nobody waits for. */
 	private static final long NO_TOKEN = 0;
 
+	/** The time for a voter to answer a new leader, in election timeouts. */
+	private static final int FIRST_ANSWER_TIMEOUTS = 3;
+
 	private final ReplicaState state;
 
 	private final Leadership leadership;
@@ -148,11 +151,18 @@
 
 	private boolean isSilent(ReplicaMember voter) {
 		return !ReplicaId.of(voter).equals(this.state.self) && this.leadership.follower(ReplicaId.of(voter))
-			.filter((
-					progress) -> this.state.nowNanos - this.leadership.lastContactNanos(progress) < replaceAfterNanos())
+			.filter((progress) -> this.state.nowNanos
+					- this.leadership.lastContactNanos(progress) < maxSilenceNanos(progress))
 			.isEmpty();
 	}
 
+	// A voter that has never answered this leader was probably gone before its election,
+	// so that most of the time allowed has passed already.
+	private long maxSilenceNanos(FollowerProgress progress) {
+		long graceNanos = this.state.configuration.timings().electionTimeout().toNanos() * FIRST_ANSWER_TIMEOUTS;
+		return progress.hasReplied ? replaceAfterNanos() : Math.min(graceNanos, replaceAfterNanos());
+	}
+
 	private Membership promoted(ReplicaMember learner) {
 		Membership current = this.state.membership();
 		Membership.Builder next = Membership.newBuilder().addAllVoters(current.getVotersList()).addVoters(learner);
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
@@ -358,6 +358,22 @@
 		assertThat(this.notices).filteredOn(ReplicaNotice.LEARNER_BEHIND::equals).hasSize(2);
 	}
 
+	// Guards against a dead voter that is kept as long as its leaders change.
+	@Test
+	public void voterThatNeverAnsweredIsReplacedSoon() {
+		Membership withLearner = THREE_VOTERS.toBuilder().addLearners(member("d")).build();
+		List<LogEntry> entries = List.of(entry(1, 1).setMembership(withLearner).build(), entry(2, 2).build());
+		HardState hard = HardState.newBuilder().setCluster(CLUSTER).setTerm(3).build();
+		start(MembershipPolicy.DEFAULT, new RecoveredLog(hard, SnapshotHeader.getDefaultInstance(), 0, 0, entries));
+		becomeLeader();
+		acknowledge("b", 3);
+		acknowledge("d", 3);
+		passSecondWithAnswersOf("b", "d");
+		passSecondWithAnswersOf("b", "d");
+		assertThat(this.core.membership().getVotersList()).extracting(ReplicaMember::getInstance)
+			.containsExactly("a", "b", "d");
+	}
+
 	// Guards against a new leader that removes a voter which has had no time to answer.
 	@Test
 	public void voterIsNotSilentWhenLeadershipBegins() {
