Decide in one place whether a follower answered recently

Cause: the check that a learner answers and the check that a replica gets entries were the same computation in two classes, and the report of a learner that is behind set its time in two branches.

Change: Leadership.answeredRecently serves both; one branch sets the time. Behaviour is the same.

--- a/control/src/main/java/io/verbenatrack/control/replica/LeaderReplication.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/LeaderReplication.java
@@ -39,13 +39,6 @@
 		}
 	}
 
-	// A replica that does not answer gets heartbeats only; its connection may be shared
-	// with its next incarnation.
-	private boolean answeredRecently(FollowerProgress follower) {
-		long timeout = this.state.configuration.timings().electionTimeout().toNanos();
-		return this.state.nowNanos - follower.lastAnsweredSendNanos < timeout;
-	}
-
 	private boolean heartbeatDue(FollowerProgress follower) {
 		long interval = this.state.configuration.timings().heartbeatInterval().toNanos();
 		return this.state.nowNanos - follower.lastSendNanos >= interval || follower.lastSendNanos == 0;
@@ -78,7 +71,11 @@
 		}
 		boolean pending = follower.nextIndex <= this.state.log.lastIndex();
 		long window = this.state.configuration.limits().unacknowledgedEntries();
-		boolean windowOpen = follower.nextIndex - follower.matchIndex <= window && answeredRecently(follower);
+		// A replica that does not answer gets heartbeats only; its connection may be
+		// shared
+		// with its next incarnation.
+		boolean windowOpen = follower.nextIndex - follower.matchIndex <= window
+				&& this.leadership.answeredRecently(follower);
 		if ((pending && windowOpen) || heartbeatDue(follower)) {
 			sendEntries(follower, windowOpen);
 		}
--- a/control/src/main/java/io/verbenatrack/control/replica/Leadership.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/Leadership.java
@@ -82,6 +82,16 @@
 		return Optional.ofNullable(this.followers.get(replica));
 	}
 
+	/**
+	 * Returns whether a follower answered a message of the last election timeout.
+	 * @param follower the follower
+	 * @return whether it is in contact with this leader
+	 */
+	boolean answeredRecently(FollowerProgress follower) {
+		long timeout = this.state.configuration.timings().electionTimeout().toNanos();
+		return this.state.nowNanos - follower.lastAnsweredSendNanos < timeout;
+	}
+
 	/**
 	 * Returns since when a follower has not answered.
 	 * @param follower the follower
--- a/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
@@ -85,11 +85,11 @@
 			ReplicaId id = ReplicaId.of(learner);
 			long since = this.learnersSinceNanos.computeIfAbsent(id, (added) -> this.state.nowNanos);
 			boolean caughtUp = caughtUp(learner);
-			if (!caughtUp && this.state.nowNanos - since >= replaceAfterNanos()) {
+			boolean overdue = !caughtUp && this.state.nowNanos - since >= replaceAfterNanos();
+			if (overdue) {
 				this.state.notifyListener(ReplicaNotice.LEARNER_BEHIND, describe(id));
-				this.learnersSinceNanos.put(id, this.state.nowNanos);
 			}
-			else if (caughtUp) {
+			if (caughtUp || overdue) {
 				this.learnersSinceNanos.put(id, this.state.nowNanos);
 			}
 		}
@@ -111,11 +111,10 @@
 	}
 
 	private boolean caughtUp(ReplicaMember learner) {
-		long timeout = this.state.configuration.timings().electionTimeout().toNanos();
 		return this.leadership.follower(ReplicaId.of(learner))
 			.filter((progress) -> progress.mode == FollowerProgress.Mode.STREAM)
 			.filter((progress) -> progress.matchIndex >= this.state.commitIndex)
-			.filter((progress) -> this.state.nowNanos - progress.lastAnsweredSendNanos < timeout)
+			.filter(this.leadership::answeredRecently)
 			.isPresent();
 	}
 
