--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -190,8 +190,7 @@
 			}
 			catch (RuntimeException ex) {
 				this.events.write(LogEvent.THREAD_FAILED, new EventLog.Field("thread", "fleet"),
-						new EventLog.Field("problem", ex),
-						new EventLog.Field("at", (ex.getStackTrace().length > 0) ? ex.getStackTrace()[0] : "unknown"));
+						new EventLog.Field("problem", ex), EventLog.Field.at(ex));
 				this.currentTerm = Optional.empty();
 				batch.forEach((call) -> call.reply().complete(new FleetReply.OutcomeUnknown()));
 			}
@@ -264,10 +263,8 @@
 	}
 
 	private void logFailedCall(FleetCall call, Throwable failure) {
-		StackTraceElement[] trace = failure.getStackTrace();
 		this.events.write(LogEvent.FLEET_CALL_FAILED, new EventLog.Field("call", call.getClass().getSimpleName()),
-				new EventLog.Field("problem", failure),
-				new EventLog.Field("at", (trace.length > 0) ? trace[0] : "unknown"));
+				new EventLog.Field("problem", failure), EventLog.Field.at(failure));
 	}
 
 	private ProposalOutcome commitCalls(LeaderTerm leaderTerm, List<CallDecision> decisions,
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/EventLog.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/EventLog.java
@@ -46,6 +46,16 @@
 	 */
 	record Field(String name, Object value) {
 
+		/**
+		 * Creates a field that tells where a failure was thrown.
+		 * @param failure the failure
+		 * @return the field "at" with the innermost stack frame, or "unknown"
+		 */
+		public static Field at(Throwable failure) {
+			StackTraceElement[] trace = failure.getStackTrace();
+			return new Field("at", (trace.length > 0) ? trace[0] : "unknown");
+		}
+
 	}
 
 }
