--- a/bench/src/main/java/io/verbenatrack/bench/capacity/LogGroup.java
+++ b/bench/src/main/java/io/verbenatrack/bench/capacity/LogGroup.java
@@ -25,6 +25,7 @@
 import io.verbenatrack.control.link.ReplicaGrpcService;
 import io.verbenatrack.model.Closer;
 import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.model.Revision;
 
@@ -70,7 +71,7 @@
 		ReplicaSettings settings = new ReplicaSettings("capacity", self, peers, data);
 		CountingTransport transport = new CountingTransport(new GrpcTransport(settings, clock));
 		Replica replica = Replica.start(settings, new EmptyStateMachine(), transport, (notice, detail) -> {
-		}, clock);
+		}, LeaseClock.exact(clock));
 		ConfigurationAuthority authority = new ConfigurationAuthority(replica,
 				() -> new ConfigurationAuthority.Applied("", new Revision(1, 0), ByteString.EMPTY),
 				settings.timings().lease());
--- a/bench/src/main/java/io/verbenatrack/bench/control/ClaimWorkload.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/ClaimWorkload.java
@@ -106,7 +106,7 @@
 		AttemptId attemptId = new AttemptId(attempt);
 		return switch (action) {
 			case CLAIM -> ClaimCodec.claim(id, ACCOUNT, "digest", ENTRY, attemptId,
-					client.currentReplica().wallClock().plus(ANSWER_RETENTION));
+					client.currentReplica().clocks().wallClock().plus(ANSWER_RETENTION));
 			case KEEP -> ClaimCodec.keepAnswer(id, ACCOUNT, attemptId, attempt.getBytes(StandardCharsets.UTF_8));
 			case RELEASE -> ClaimCodec.release(id, ACCOUNT, attemptId);
 		};
--- a/bench/src/main/java/io/verbenatrack/bench/control/FaultInjector.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/FaultInjector.java
@@ -21,6 +21,14 @@
 
 	private static final long CLOCK_STEP_NANOS = 3_600_000 * NANOS_PER_MILLI;
 
+	private static final long MIN_JUMP_NANOS = 100 * NANOS_PER_MILLI;
+
+	private static final long MAX_JUMP_NANOS = 5000 * NANOS_PER_MILLI;
+
+	private static final long MAX_JUMP_PAUSE_NANOS = 600 * NANOS_PER_MILLI;
+
+	private static final long MAX_SUSPENSION_NANOS = 8000 * NANOS_PER_MILLI;
+
 	private final SimulatedCluster cluster;
 
 	private final SplittableRandom random;
@@ -76,14 +84,25 @@
 				schedule(durationNanos, () -> network.reorder(false));
 			}
 			case CLOCK_STEP -> {
-				affected.stepWallClock((this.random.nextBoolean() ? 1 : -1) * CLOCK_STEP_NANOS);
-				affected.clockRate(1 + MAXIMUM_CLOCK_DRIFT * (this.random.nextDouble() * 2 - 1));
-				schedule(durationNanos, () -> affected.clockRate(1));
+				affected.clocks().stepWallClock((this.random.nextBoolean() ? 1 : -1) * CLOCK_STEP_NANOS);
+				affected.clocks().rate(1 + MAXIMUM_CLOCK_DRIFT * (this.random.nextDouble() * 2 - 1));
+				schedule(durationNanos, () -> affected.clocks().rate(1));
 			}
+			case CLOCK_JUMPS -> jumpWallClock(affected, durationNanos);
+			case SUSPENSION -> affected.suspend(this.random.nextLong(MAX_SUSPENSION_NANOS));
 			case PAUSE -> affected.pause((200 + this.random.nextLong(2_800)) * NANOS_PER_MILLI);
 		}
 	}
 
+	private void jumpWallClock(SimulatedReplica affected, long remainingNanos) {
+		long jump = MIN_JUMP_NANOS + this.random.nextLong(MAX_JUMP_NANOS - MIN_JUMP_NANOS);
+		affected.clocks().stepWallClock(this.random.nextBoolean() ? jump : -jump);
+		long pause = MIN_JUMP_NANOS + this.random.nextLong(MAX_JUMP_PAUSE_NANOS - MIN_JUMP_NANOS);
+		if (pause < remainingNanos) {
+			schedule(pause, () -> jumpWallClock(affected, remainingNanos - pause));
+		}
+	}
+
 	private void schedule(long nanos, Runnable action) {
 		this.cluster.clock().schedule(nanos, action);
 	}
--- a/bench/src/main/java/io/verbenatrack/bench/control/FaultKind.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/FaultKind.java
@@ -46,8 +46,14 @@
 	/** The wall clock of the replica jumps, and its monotonic clock drifts. */
 	CLOCK_STEP,
 
+	/** The wall clock of the replica jumps back and forth by 0.1 to 5 s. */
+	CLOCK_JUMPS,
+
 	/** The process pauses, as in a long garbage collection. */
-	PAUSE;
+	PAUSE,
+
+	/** The machine is suspended for up to 8 s, and its monotonic clock stops. */
+	SUSPENSION;
 
 	/**
 	 * Returns the name used in expectation files and reports.
--- a/bench/src/main/java/io/verbenatrack/bench/control/LogMeasurement.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/LogMeasurement.java
@@ -26,6 +26,7 @@
 import io.verbenatrack.control.driver.Replica;
 import io.verbenatrack.control.driver.ReplicaTransport;
 import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 
 /**
@@ -104,7 +105,7 @@
 		ReplicaSettings settings = new ReplicaSettings("bench", SELF, List.of(SELF), data, ReplicaTimings.DEFAULT,
 				limits, MembershipPolicy.DEFAULT, groupCommit);
 		Replica replica = Replica.start(settings, machine, ReplicaTransport.none(), (notice, detail) -> {
-		}, MonotonicClock.system());
+		}, LeaseClock.exact(MonotonicClock.system()));
 		while (!replica.leads()) {
 			LockSupport.parkNanos(Duration.ofMillis(1).toNanos());
 		}
--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedCluster.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedCluster.java
@@ -104,7 +104,8 @@
 		for (SimulatedReplica replica : this.replicas) {
 			replica.disk().full(false);
 			replica.disk().extraSyncNanos(0);
-			replica.clockRate(1);
+			replica.clocks().rate(1);
+			replica.wake();
 			if (!replica.alive()) {
 				replica.start();
 			}
--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedInstance.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedInstance.java
@@ -9,7 +9,9 @@
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.control.configuration.ConfigurationAuthority;
 import io.verbenatrack.control.configuration.ConfigurationLease;
+import io.verbenatrack.model.HeldTime;
 import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.Revision;
 import io.verbenatrack.protocol.control.ConfigurationReply;
 import io.verbenatrack.protocol.control.ConfigurationRequest;
@@ -44,13 +46,15 @@
 	SimulatedInstance(SimulatedCluster cluster, SplittableRandom random) {
 		this.cluster = cluster;
 		this.random = random;
-		this.lease = new ConfigurationLease(() -> cluster.clock().nowNanos(), (revision, declarations) -> {
-			if (revision.compareTo(this.highestRevision) <= 0) {
-				cluster.monitor()
-					.recordViolation("an instance reverted from revision " + this.highestRevision + " to " + revision);
-			}
-			this.highestRevision = revision;
-		});
+		this.lease = new ConfigurationLease(LeaseClock.exact(() -> cluster.clock().nowNanos()),
+				(revision, declarations) -> {
+					if (revision.compareTo(this.highestRevision) <= 0) {
+						cluster.monitor()
+							.recordViolation(
+									"an instance reverted from revision " + this.highestRevision + " to " + revision);
+					}
+					this.highestRevision = revision;
+				});
 	}
 
 	void start() {
@@ -95,7 +99,7 @@
 			.setRevision(this.lease.revision().number())
 			.build());
 		this.cluster.clock().schedule(LINK_NANOS + this.random.nextLong(LINK_NANOS), () -> {
-			if (!this.isolated && this.lease.renew(reply, sentNanos)) {
+			if (!this.isolated && this.lease.renew(reply, new HeldTime(sentNanos))) {
 				this.renewedNanos = this.cluster.clock().nowNanos();
 			}
 		});
--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedReplica.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedReplica.java
@@ -1,7 +1,5 @@
 package io.verbenatrack.bench.control;
 
-import java.time.Duration;
-import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -20,6 +18,7 @@
 import io.verbenatrack.control.replica.ReplicaEvent;
 import io.verbenatrack.control.replica.ReplicaRole;
 import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.protocol.control.SnapshotHeader;
 
 /**
@@ -34,8 +33,6 @@
 
 	private static final long DISK_RETRY_NANOS = 1_000_000_000;
 
-	private static final long WALL_START_NANOS = Duration.ofDays(1).toNanos();
-
 	private static final byte[] NO_RESULT = {};
 
 	private final SimulatedCluster cluster;
@@ -68,20 +65,21 @@
 
 	private long pausedUntilNanos;
 
-	private double clockRate = 1;
-
-	private long clockOffsetNanos = 1_000_000_000;
-
 	private int incarnations;
 
 	private int ticks;
 
-	private long wallOffsetNanos;
+	private final SimulatedMachineClocks clocks;
+
+	private final LeaseClock leaseClock;
 
 	SimulatedReplica(SimulatedCluster cluster, ReplicaPeer peer, SplittableRandom random) {
 		this.cluster = cluster;
 		this.peer = peer;
 		this.random = random;
+		this.clocks = new SimulatedMachineClocks(cluster.clock()::nowNanos);
+		this.leaseClock = random.nextBoolean() ? LeaseClock.exact(this.clocks::bootNanos)
+				: LeaseClock.estimated(this.clocks::monotonicNanos, this.clocks::wallClock);
 		replaceDisk();
 	}
 
@@ -114,30 +112,8 @@
 		return this.machine;
 	}
 
-	long localNanos() {
-		return this.clockOffsetNanos + (long) (this.cluster.clock().nowNanos() * this.clockRate);
-	}
-
-	/**
-	 * Changes the rate of the monotonic clock.
-	 * @param rate the number of local seconds per second of virtual time
-	 */
-	void clockRate(double rate) {
-		long before = localNanos();
-		this.clockRate = rate;
-		this.clockOffsetNanos += before - localNanos();
-	}
-
-	/**
-	 * Steps the wall clock, on which the protocol must not depend.
-	 * @param nanos the step in nanoseconds
-	 */
-	void stepWallClock(long nanos) {
-		this.wallOffsetNanos += nanos;
-	}
-
-	Instant wallClock() {
-		return Instant.EPOCH.plusNanos(WALL_START_NANOS + this.cluster.clock().nowNanos() + this.wallOffsetNanos);
+	SimulatedMachineClocks clocks() {
+		return this.clocks;
 	}
 
 	void start() {
@@ -154,7 +130,7 @@
 				this.cluster.founders(), this.cluster.timings(), this.cluster.limits(),
 				this.cluster.membershipPolicy());
 		var recovered = this.disk.recover();
-		this.core = new ReplicaCore(configuration, recovered, this.random.split(), localNanos());
+		this.core = new ReplicaCore(configuration, recovered, this.random.split(), this.leaseClock.read());
 		if (recovered.snapshot().getIndex() > this.appliedIndex) {
 			restore(recovered.snapshot());
 		}
@@ -173,6 +149,25 @@
 		this.confirmations.clear();
 	}
 
+	/**
+	 * Suspends the machine: nothing runs, and its monotonic clock stops.
+	 * @param nanos the time in nanoseconds
+	 */
+	void suspend(long nanos) {
+		long until = this.cluster.clock().nowNanos() + nanos;
+		this.clocks.suspendUntil(until);
+		this.pausedUntilNanos = Math.max(this.pausedUntilNanos, until);
+	}
+
+	/** Ends a suspension or pause early. */
+	void wake() {
+		this.clocks.wake();
+		if (this.alive && paused()) {
+			this.pausedUntilNanos = this.cluster.clock().nowNanos();
+			handle(new ReplicaEvent.Tick());
+		}
+	}
+
 	void pause(long nanos) {
 		this.pausedUntilNanos = this.cluster.clock().nowNanos() + nanos;
 	}
@@ -186,7 +181,7 @@
 	 * @return whether it is the leader and its lease is valid by its own clock
 	 */
 	boolean leads() {
-		return this.alive && this.core.leads() && localNanos() - this.core.leaseEndNanos() < 0;
+		return this.alive && this.core.leads() && this.leaseClock.held().isBefore(this.core.leaseEnd());
 	}
 
 	void handle(ReplicaEvent event) {
@@ -198,11 +193,11 @@
 			schedule(this.pausedUntilNanos - now, () -> handle(event));
 			return;
 		}
-		this.core.handle(localNanos(), event);
+		this.core.handle(this.leaseClock.read(), event);
 		this.core.flush().forEach(this::execute);
 		applyCommitted();
 		this.cluster.monitor().observe(this);
-		long wait = (long) ((this.core.nextDeadline() - localNanos()) / this.clockRate);
+		long wait = this.core.nextTickNanos();
 		int tickNumber = ++this.ticks;
 		schedule(Math.max(1_000_000, wait), () -> {
 			if (tickNumber == this.ticks) {
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/FleetSimulation.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetSimulation.java
@@ -26,6 +26,7 @@
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.GrantedTime;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.ServiceId;
 
@@ -46,8 +47,6 @@
 
 	private static final int MAXIMUM_ATTEMPTS = 3;
 
-	private static final long NANOS_PER_MILLI = 1_000_000;
-
 	private static final long GANG_WAIT_MILLIS = 3000;
 
 	private static final long REPORT_AFTER_END_MILLIS = 50;
@@ -62,7 +61,7 @@
 
 	private final FleetState state = new FleetState();
 
-	private final FleetScheduler scheduler = new FleetScheduler(this.state, TIMINGS, 1, 0);
+	private final FleetScheduler scheduler = new FleetScheduler(this.state, TIMINGS, 1, time(0));
 
 	private final List<SimulatedWorker> workers = new ArrayList<>();
 
@@ -130,6 +129,10 @@
 				new CallLimits(1, 1, 1, 1), accounts);
 	}
 
+	private static GrantedTime time(long millis) {
+		return new GrantedTime(Duration.ofMillis(millis).toNanos());
+	}
+
 	private void commit(List<FleetCommand> commands) {
 		if (!commands.isEmpty() && !this.state.apply(new FleetBatch(1, ++this.sequence, commands))) {
 			throw new IllegalStateException("The fleet state rejected a batch of the only leader.");
@@ -145,11 +148,10 @@
 		List<SimulatedWorker> reporting = this.workers.stream().filter((worker) -> worker.reports(now)).toList();
 		List<WorkerReport> reports = reporting.stream().map(SimulatedWorker::report).toList();
 		List<FleetCommand> ends = new ArrayList<>();
-		reports.forEach(
-				(report) -> ends.addAll(this.scheduler.receiveReport(report, now * NANOS_PER_MILLI).orElse(List.of())));
-		ends.addAll(this.scheduler.detectLostRuns(now * NANOS_PER_MILLI));
+		reports.forEach((report) -> ends.addAll(this.scheduler.receiveReport(report, time(now)).orElse(List.of())));
+		ends.addAll(this.scheduler.detectLostRuns(time(now)));
 		commit(ends);
-		commit(this.scheduler.placeTasks(now * NANOS_PER_MILLI, now));
+		commit(this.scheduler.placeTasks(time(now), now));
 		this.scheduler.drainEvents();
 		for (int index = 0; index < reporting.size(); index++) {
 			HeartbeatResponse orders = this.scheduler.respond(reports.get(index));
--- a/control/src/main/java/io/verbenatrack/control/configuration/ConfigurationLease.java
+++ b/control/src/main/java/io/verbenatrack/control/configuration/ConfigurationLease.java
@@ -5,7 +5,8 @@
 
 import com.google.protobuf.ByteString;
 
-import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.HeldTime;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
 import io.verbenatrack.model.Revision;
@@ -20,18 +21,19 @@
  */
 public final class ConfigurationLease {
 
-	private final MonotonicClock clock;
+	private final LeaseClock clock;
 
 	private final Listener listener;
 
-	private volatile LeaseState state = new LeaseState("", Revision.NONE, ByteString.EMPTY, 0, false, false);
+	private volatile LeaseState state = new LeaseState("", Revision.NONE, ByteString.EMPTY, new HeldTime(0), false,
+			false);
 
 	/**
 	 * Creates a lease that has not been granted yet.
-	 * @param clock the monotonic clock
+	 * @param clock the clock for the lease
 	 * @param listener receives each new configuration before work is admitted under it
 	 */
-	public ConfigurationLease(MonotonicClock clock, Listener listener) {
+	public ConfigurationLease(LeaseClock clock, Listener listener) {
 		this.clock = clock;
 		this.listener = listener;
 	}
@@ -42,7 +44,7 @@
 	 */
 	public boolean mayAdmit() {
 		LeaseState current = this.state;
-		return current.granted() && !current.historyLost() && this.clock.nanoTime() - current.endNanos() < 0;
+		return current.granted() && !current.historyLost() && this.clock.held().isBefore(current.end());
 	}
 
 	/**
@@ -95,11 +97,10 @@
 	/**
 	 * Processes a reply to a lease request. A reply with a lower revision has no effect.
 	 * @param reply the reply
-	 * @param requestedNanos when the request was sent, on the monotonic clock in
-	 * nanoseconds
+	 * @param requested when the request was sent
 	 * @return whether the lease was renewed
 	 */
-	public synchronized boolean renew(ConfigurationReply reply, long requestedNanos) {
+	public synchronized boolean renew(ConfigurationReply reply, HeldTime requested) {
 		LeaseState current = this.state;
 		Revision revision = new Revision(reply.getEpoch(), reply.getRevision());
 		if (reply.getOutcome() == ConfigurationReply.Outcome.POSITION_LOST) {
@@ -113,13 +114,13 @@
 			return false;
 		}
 		ByteString declarations = reply.getUnchanged() ? current.declarations() : reply.getDeclarations();
-		long endNanos = requestedNanos + Duration.ofMillis(reply.getLeaseMillis()).toNanos();
+		HeldTime end = requested.plus(Duration.ofMillis(reply.getLeaseMillis()));
 		if (revision.compareTo(current.revision()) > 0) {
 			this.listener.changed(revision, declarations);
 		}
-		boolean extended = !current.granted() || endNanos - current.endNanos() > 0;
-		this.state = new LeaseState(reply.getCluster(), revision, declarations,
-				extended ? endNanos : current.endNanos(), true, false);
+		boolean extended = !current.granted() || current.end().isBefore(end);
+		this.state = new LeaseState(reply.getCluster(), revision, declarations, extended ? end : current.end(), true,
+				false);
 		return true;
 	}
 
@@ -137,11 +138,11 @@
 
 	}
 
-	private record LeaseState(String cluster, Revision revision, ByteString declarations, long endNanos,
-			boolean granted, boolean historyLost) {
+	private record LeaseState(String cluster, Revision revision, ByteString declarations, HeldTime end, boolean granted,
+			boolean historyLost) {
 
 		private LeaseState withHistoryLost() {
-			return new LeaseState(this.cluster, this.revision, this.declarations, this.endNanos, this.granted, true);
+			return new LeaseState(this.cluster, this.revision, this.declarations, this.end, this.granted, true);
 		}
 
 	}
--- a/control/src/main/java/io/verbenatrack/control/configuration/ConfigurationLeaseRenewer.java
+++ b/control/src/main/java/io/verbenatrack/control/configuration/ConfigurationLeaseRenewer.java
@@ -6,8 +6,9 @@
 import java.util.concurrent.locks.LockSupport;
 
 import io.verbenatrack.control.ReplicaPeer;
+import io.verbenatrack.model.HeldTime;
 import io.verbenatrack.model.InstanceId;
-import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.protocol.control.ConfigurationReply;
 import io.verbenatrack.protocol.control.ConfigurationRequest;
 
@@ -28,7 +29,7 @@
 
 	private final ConfigurationClient client;
 
-	private final MonotonicClock clock;
+	private final LeaseClock clock;
 
 	private final Duration interval;
 
@@ -44,12 +45,12 @@
 	 * @param lease the lease to renew
 	 * @param replicas the replicas that may grant the lease
 	 * @param client sends the requests
-	 * @param clock the monotonic clock
+	 * @param clock the clock for the lease
 	 * @param interval the interval between renewals, a small fraction of the lease
 	 * duration
 	 */
 	public ConfigurationLeaseRenewer(InstanceId self, ConfigurationLease lease, List<ReplicaPeer> replicas,
-			ConfigurationClient client, MonotonicClock clock, Duration interval) {
+			ConfigurationClient client, LeaseClock clock, Duration interval) {
 		this.self = self;
 		this.lease = lease;
 		this.replicas = List.copyOf(replicas);
@@ -80,7 +81,7 @@
 	 */
 	boolean renewOnce() {
 		ReplicaPeer replica = this.replicas.get(this.nextReplica);
-		long requestedNanos = this.clock.nanoTime();
+		HeldTime requested = this.clock.held();
 		ConfigurationRequest request = ConfigurationRequest.newBuilder()
 			.setInstance(this.self.value())
 			.setCluster(this.lease.cluster())
@@ -88,7 +89,7 @@
 			.setRevision(this.lease.revision().number())
 			.build();
 		Optional<ConfigurationReply> reply = this.client.requestLease(replica, request);
-		boolean renewed = reply.isPresent() && this.lease.renew(reply.get(), requestedNanos);
+		boolean renewed = reply.isPresent() && this.lease.renew(reply.get(), requested);
 		if (!renewed) {
 			this.nextReplica = reply.flatMap(this::indexOfNamedLeader)
 				.orElse((this.nextReplica + 1) % this.replicas.size());
--- a/control/src/main/java/io/verbenatrack/control/driver/ProtocolDuty.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/ProtocolDuty.java
@@ -19,7 +19,9 @@
 import io.verbenatrack.control.replica.ReplicaEffect;
 import io.verbenatrack.control.replica.ReplicaEvent;
 import io.verbenatrack.control.replica.ReplicaRole;
-import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.ClockReading;
+import io.verbenatrack.model.HeldTime;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
 
@@ -30,13 +32,13 @@
 
 	private static final int EVENTS_PER_BATCH = 256;
 
-	private static final long DISK_RETRY_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
+	private static final Duration DISK_RETRY_INTERVAL = Duration.ofSeconds(1);
 
 	private static final long QUEUE_FULL_RETRY_NANOS = Duration.ofMillis(1).toNanos();
 
 	private final Function<RecoveredLog, ReplicaCore> coreFactory;
 
-	private final MonotonicClock clock;
+	private final LeaseClock clock;
 
 	private final ReplicaTransport transport;
 
@@ -56,13 +58,13 @@
 
 	private long deliveredIndex;
 
-	private long diskRetryNanos;
+	private HeldTime diskRetry;
 
 	private boolean diskRetryScheduled;
 
 	private volatile ReplicaStatus status;
 
-	ProtocolDuty(Function<RecoveredLog, ReplicaCore> coreFactory, RecoveredLog recovered, MonotonicClock clock,
+	ProtocolDuty(Function<RecoveredLog, ReplicaCore> coreFactory, RecoveredLog recovered, LeaseClock clock,
 			ReplicaTransport transport, ReplicaListener listener, PendingRequests pendingRequests, ReplicaQueues queues,
 			boolean groupCommit) {
 		this.coreFactory = coreFactory;
@@ -92,7 +94,7 @@
 	public long runOnce() {
 		this.queues.completions().drain(this.batch::add, this.eventsPerBatch);
 		this.queues.inbox().drain(this.batch::add, this.eventsPerBatch);
-		long now = this.clock.nanoTime();
+		ClockReading now = this.clock.read();
 		int handled = this.batch.size();
 		for (ProtocolTask task : this.batch) {
 			switch (task) {
@@ -106,9 +108,9 @@
 		}
 		this.core.flush().forEach(this::execute);
 		deliverCommitted();
-		retryFailedDisk(now);
+		retryFailedDisk(now.held());
 		publishStatus();
-		return (handled > 0) ? 0 : Math.max(0, this.core.nextDeadline() - this.clock.nanoTime());
+		return (handled > 0) ? 0 : Math.max(0, this.core.nextTickNanos());
 	}
 
 	private void restart(RecoveredLog recovered) {
@@ -118,16 +120,16 @@
 		startCore(recovered);
 	}
 
-	private void retryFailedDisk(long now) {
+	private void retryFailedDisk(HeldTime now) {
 		if (this.core.role() != ReplicaRole.FAULTED) {
 			this.diskRetryScheduled = false;
 			return;
 		}
 		if (!this.diskRetryScheduled) {
 			this.diskRetryScheduled = true;
-			this.diskRetryNanos = now + DISK_RETRY_INTERVAL_NANOS;
+			this.diskRetry = now.plus(DISK_RETRY_INTERVAL);
 		}
-		else if (now - this.diskRetryNanos >= 0) {
+		else if (!now.isBefore(this.diskRetry)) {
 			this.diskRetryScheduled = false;
 			this.queues.disk().offer(new DiskTask.Reopen());
 			this.queues.wakeDisk();
@@ -207,7 +209,7 @@
 	private void publishStatus() {
 		this.status = new ReplicaStatus(this.core.role(), this.core.term(), this.core.leader(), this.core.cluster(),
 				this.core.commitIndex(), this.core.lastIndex(), this.core.termAt(this.core.lastIndex()),
-				this.core.membership(), this.core.leads(), this.core.leaseEndNanos(), this.core.termStartIndex());
+				this.core.membership(), this.core.leads(), this.core.leaseEnd(), this.core.termStartIndex());
 	}
 
 }
--- a/control/src/main/java/io/verbenatrack/control/driver/Replica.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/Replica.java
@@ -25,8 +25,9 @@
 import io.verbenatrack.control.storage.ReplicaIdentity;
 import io.verbenatrack.control.storage.SnapshotFolder;
 import io.verbenatrack.model.Closer;
+import io.verbenatrack.model.HeldTime;
 import io.verbenatrack.model.InstanceId;
-import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
 import io.verbenatrack.protocol.control.Membership;
@@ -48,7 +49,7 @@
 
 	private final ReplicaQueues queues;
 
-	private final MonotonicClock clock;
+	private final LeaseClock clock;
 
 	private final ReplicaId self;
 
@@ -61,7 +62,7 @@
 	private volatile boolean halted;
 
 	private Replica(ReplicaSettings settings, StateMachine stateMachine, ReplicaTransport transport,
-			ReplicaListener listener, MonotonicClock clock, Closer closer) throws IOException {
+			ReplicaListener listener, LeaseClock clock, Closer closer) throws IOException {
 		this.closer = closer;
 		this.clock = clock;
 		this.queues = new ReplicaQueues(settings.limits().pendingEvents());
@@ -86,13 +87,13 @@
 	 * @param stateMachine the state machine to which commands are applied
 	 * @param transport the transport to the other replicas
 	 * @param listener receives notices for operators
-	 * @param clock the monotonic clock
+	 * @param clock the clock for the leader lease
 	 * @return the replica
 	 * @throws IOException if the data folder cannot be used; the message includes the
 	 * remedy
 	 */
 	public static Replica start(ReplicaSettings settings, StateMachine stateMachine, ReplicaTransport transport,
-			ReplicaListener listener, MonotonicClock clock) throws IOException {
+			ReplicaListener listener, LeaseClock clock) throws IOException {
 		Closer closer = new Closer();
 		try {
 			return new Replica(settings, stateMachine, transport, listener, clock, closer);
@@ -109,7 +110,7 @@
 				settings.replicas().stream().map((peer) -> peer.member("")).toList(), settings.timings(),
 				settings.limits(), settings.membershipPolicy());
 		long seed = ThreadLocalRandom.current().nextLong();
-		return new ReplicaCore(configuration, recovered, new SplittableRandom(seed), this.clock.nanoTime());
+		return new ReplicaCore(configuration, recovered, new SplittableRandom(seed), this.clock.read());
 	}
 
 	private void startThreads(DiskDuty diskDuty) {
@@ -190,7 +191,7 @@
 	@Override
 	public boolean leads() {
 		ReplicaStatus current = status();
-		return !this.halted && current.leading() && this.clock.nanoTime() - current.leaseEndNanos() < 0
+		return !this.halted && current.leading() && this.clock.held().isBefore(current.leaseEnd())
 				&& this.applyDuty.appliedIndex() >= current.termStartIndex();
 	}
 
@@ -247,8 +248,8 @@
 			return;
 		}
 		this.queues.post(new ProtocolTask.Handle(new ReplicaEvent.HandOverRequested()));
-		long deadline = this.clock.nanoTime() + HAND_OVER_TIMEOUT.toNanos();
-		while (status().role().leading() && this.clock.nanoTime() - deadline < 0) {
+		HeldTime deadline = this.clock.held().plus(HAND_OVER_TIMEOUT);
+		while (status().role().leading() && this.clock.held().isBefore(deadline)) {
 			LockSupport.parkNanos(HAND_OVER_POLL_INTERVAL_NANOS);
 		}
 	}
--- a/control/src/main/java/io/verbenatrack/control/driver/ReplicaStatus.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/ReplicaStatus.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import io.verbenatrack.control.replica.ReplicaRole;
+import io.verbenatrack.model.HeldTime;
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.protocol.control.Membership;
 
@@ -19,11 +20,10 @@
  * @param membership the latest membership in its log
  * @param leading whether it is the leader, holds its lease and has committed an entry of
  * its term
- * @param leaseEndNanos when the lease ends, on the monotonic clock in nanoseconds
+ * @param leaseEnd when the lease ends
  * @param termStartIndex the index of the first entry of its term as leader
  */
 public record ReplicaStatus(ReplicaRole role, long term, Optional<InstanceId> leader, String cluster, long commitIndex,
-		long lastIndex, long lastTerm, Membership membership, boolean leading, long leaseEndNanos,
-		long termStartIndex) {
+		long lastIndex, long lastTerm, Membership membership, boolean leading, HeldTime leaseEnd, long termStartIndex) {
 
 }
--- a/control/src/main/java/io/verbenatrack/control/link/GrpcReplica.java
+++ b/control/src/main/java/io/verbenatrack/control/link/GrpcReplica.java
@@ -8,6 +8,7 @@
 import io.verbenatrack.control.configuration.ConfigurationAuthority;
 import io.verbenatrack.control.driver.Replica;
 import io.verbenatrack.control.driver.ReplicaListener;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 
 /**
@@ -31,17 +32,18 @@
 	 * @param stateMachine the state machine to which commands are applied
 	 * @param configuration supplies the configuration applied by the state machine
 	 * @param listener receives notices for operators
-	 * @param clock the monotonic clock
+	 * @param clock the clock for the leader lease and for timeouts
 	 * @return the replica and its service
 	 * @throws IOException if the data folder cannot be used; the message includes the
 	 * remedy
 	 */
 	public static GrpcReplica start(ReplicaSettings settings, StateMachine stateMachine,
-			ConfigurationAuthority.Source configuration, ReplicaListener listener, MonotonicClock clock)
+			ConfigurationAuthority.Source configuration, ReplicaListener listener, LeaseClock clock)
 			throws IOException {
-		Replica replica = Replica.start(settings, stateMachine, new GrpcTransport(settings, clock), listener, clock);
+		MonotonicClock timeouts = () -> clock.held().nanos();
+		Replica replica = Replica.start(settings, stateMachine, new GrpcTransport(settings, timeouts), listener, clock);
 		ConfigurationAuthority authority = new ConfigurationAuthority(replica, configuration, CONFIGURATION_LEASE);
-		return new GrpcReplica(replica, new ReplicaGrpcService(replica, authority, clock));
+		return new GrpcReplica(replica, new ReplicaGrpcService(replica, authority, timeouts));
 	}
 
 	@Override
--- a/control/src/main/java/io/verbenatrack/control/replica/ClusterFormation.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ClusterFormation.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 
 import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.model.GrantedTime;
 import io.verbenatrack.protocol.control.Announcement;
 import io.verbenatrack.protocol.control.LogEntry;
 import io.verbenatrack.protocol.control.Membership;
@@ -31,13 +32,13 @@
 	 * Long enough to hear from an existing cluster: its leader contacts each member ten
 	 * times a second, even one that does not answer.
 	 */
-	private static final long FORMATION_DELAY_NANOS = Duration.ofSeconds(5).toNanos();
+	private static final Duration FORMATION_DELAY = Duration.ofSeconds(5);
 
 	/**
 	 * Long enough for several elections. A replica that is still a member has been
 	 * contacted by then.
 	 */
-	private static final long LEADER_CONTACT_TIMEOUT_NANOS = Duration.ofSeconds(3).toNanos();
+	private static final Duration LEADER_CONTACT_TIMEOUT = Duration.ofSeconds(3);
 
 	private final ReplicaState state;
 
@@ -47,7 +48,7 @@
 
 	private long lastAnnouncedNanos;
 
-	private final long startedNanos;
+	private final GrantedTime started;
 
 	private boolean existingClusterSeen;
 
@@ -60,7 +61,7 @@
 
 	ClusterFormation(ReplicaState state) {
 		this.state = state;
-		this.startedNanos = state.nowNanos;
+		this.started = state.grantedNow;
 	}
 
 	void tick() {
@@ -81,7 +82,7 @@
 
 	private boolean lostLeaderContact() {
 		return !this.state.role.leading() && this.state.role != ReplicaRole.FAULTED
-				&& this.state.nowNanos - this.state.lastLeaderContactNanos >= LEADER_CONTACT_TIMEOUT_NANOS;
+				&& !this.state.grantedNow.isBefore(this.state.lastLeaderContact.plus(LEADER_CONTACT_TIMEOUT));
 	}
 
 	private boolean announcementDue() {
@@ -146,7 +147,7 @@
 	// incarnations.
 	private boolean mayFormCluster() {
 		return this.state.configuration.membershipPolicy().mayFormCluster()
-				|| (!this.existingClusterSeen && this.state.nowNanos - this.startedNanos >= FORMATION_DELAY_NANOS);
+				|| (!this.existingClusterSeen && !this.state.grantedNow.isBefore(this.started.plus(FORMATION_DELAY)));
 	}
 
 	/**
--- a/control/src/main/java/io/verbenatrack/control/replica/Elections.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/Elections.java
@@ -5,6 +5,7 @@
 import java.util.TreeSet;
 
 import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.model.GrantedTime;
 import io.verbenatrack.protocol.control.ReplicaMember;
 import io.verbenatrack.protocol.control.ReplicaMessage;
 import io.verbenatrack.protocol.control.VoteReply;
@@ -43,7 +44,7 @@
 			return;
 		}
 		boolean soleVoter = this.state.isVoter() && this.state.memberships.quorum() == 1;
-		if (!soleVoter && this.state.nowNanos - this.state.electionDeadlineNanos < 0) {
+		if (!soleVoter && this.state.grantedNow.isBefore(this.state.electionDeadline)) {
 			return;
 		}
 		if (!this.state.isVoter()) {
@@ -129,8 +130,9 @@
 		if (request.getHandOver()) {
 			return false;
 		}
-		long timeout = this.state.configuration.timings().electionTimeout().toNanos();
-		return this.state.role.leading() || this.state.nowNanos - this.state.lastLeaderContactNanos < timeout;
+		GrantedTime promiseEnd = this.state.lastLeaderContact
+			.plus(this.state.configuration.timings().electionTimeout());
+		return this.state.role.leading() || this.state.grantedNow.isBefore(promiseEnd);
 	}
 
 	void handleRequest(ReplicaMessage message) {
--- a/control/src/main/java/io/verbenatrack/control/replica/FollowerReplication.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/FollowerReplication.java
@@ -95,7 +95,7 @@
 
 	private void recordLeaderContact(ReplicaMessage message) {
 		this.state.leader = Optional.of(ReplicaId.parse(message.getFrom()));
-		this.state.lastLeaderContactNanos = this.state.nowNanos;
+		this.state.lastLeaderContact = this.state.grantedNow;
 		this.state.resetElectionDeadline();
 	}
 
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
@@ -5,6 +5,8 @@
 import java.util.random.RandomGenerator;
 
 import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.model.ClockReading;
+import io.verbenatrack.model.HeldTime;
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.protocol.control.AppendReply;
 import io.verbenatrack.protocol.control.HandOver;
@@ -44,11 +46,11 @@
 	 * @param configuration its settings
 	 * @param recovered the state recovered from its disk
 	 * @param random the source of random election timeouts
-	 * @param nowNanos the monotonic time in nanoseconds
+	 * @param now the readings of its lease clock
 	 */
 	public ReplicaCore(ReplicaConfiguration configuration, RecoveredLog recovered, RandomGenerator random,
-			long nowNanos) {
-		this.state = new ReplicaState(configuration, recovered, random, nowNanos);
+			ClockReading now) {
+		this.state = new ReplicaState(configuration, recovered, random, now);
 		this.leadership = new Leadership(this.state);
 		this.elections = new Elections(this.state, this.leadership::start);
 		this.leaderReplication = new LeaderReplication(this.state, this.leadership);
@@ -60,11 +62,11 @@
 
 	/**
 	 * Handles an event.
-	 * @param nowNanos the monotonic time in nanoseconds, never less than before
+	 * @param now the readings of its lease clock, never less than before
 	 * @param event the event
 	 */
-	public void handle(long nowNanos, ReplicaEvent event) {
-		this.state.nowNanos = nowNanos;
+	public void handle(ClockReading now, ReplicaEvent event) {
+		this.state.advanceClock(now);
 		if (this.state.role == ReplicaRole.FAULTED) {
 			refuseWhileFaulted(event);
 			return;
@@ -321,15 +323,16 @@
 	}
 
 	/**
-	 * Returns when {@link #flush()} must be called next, even without an event.
-	 * @return the monotonic time in nanoseconds
+	 * Returns how long after the latest event {@link #flush()} must be called next, even
+	 * without an event.
+	 * @return the time in nanoseconds, negative when it has passed
 	 */
-	public long nextDeadline() {
+	public long nextTickNanos() {
 		long heartbeat = this.state.configuration.timings().heartbeatInterval().toNanos();
 		if (this.state.role.leading() || this.state.role == ReplicaRole.UNFORMED) {
-			return this.state.nowNanos + heartbeat / 2;
+			return heartbeat / 2;
 		}
-		return Math.min(this.state.electionDeadlineNanos, this.state.nowNanos + heartbeat * 5);
+		return Math.min(this.state.electionDeadline.nanosSince(this.state.grantedNow), heartbeat * 5);
 	}
 
 	/**
@@ -343,10 +346,10 @@
 
 	/**
 	 * Returns when the leader lease ends.
-	 * @return the monotonic time in nanoseconds, meaningful while {@link #leads()}
+	 * @return the time, meaningful while {@link #leads()}
 	 */
-	public long leaseEndNanos() {
-		return this.leadership.leaseEndNanos();
+	public HeldTime leaseEnd() {
+		return new HeldTime(this.leadership.leaseEndNanos());
 	}
 
 	/**
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaState.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaState.java
@@ -1,11 +1,15 @@
 package io.verbenatrack.control.replica;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.model.ClockReading;
+import io.verbenatrack.model.GrantedTime;
+import io.verbenatrack.model.HeldTime;
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.StateChart;
 import io.verbenatrack.protocol.control.HardState;
@@ -43,26 +47,33 @@
 
 	Optional<ReplicaId> leader = Optional.empty();
 
+	/** The latest reading for the leader lease, in nanoseconds; see {@link HeldTime}. */
 	long nowNanos;
 
+	/**
+	 * The latest reading for the promise to a leader not to vote for another one.
+	 */
+	GrantedTime grantedNow;
+
 	long commitIndex;
 
 	/** The last index that is durable on this replica. */
 	long durableIndex;
 
 	/** The time of the last contact with a leader, or of the start of this replica. */
-	long lastLeaderContactNanos;
+	GrantedTime lastLeaderContact;
 
-	long electionDeadlineNanos;
+	/** When this replica may ask for votes, its own included. */
+	GrantedTime electionDeadline;
 
 	ReplicaState(ReplicaConfiguration configuration, RecoveredLog recoveredFromDisk, RandomGenerator random,
-			long nowNanos) {
+			ClockReading now) {
 		boolean formed = !recoveredFromDisk.hardState().getCluster().isEmpty();
 		RecoveredLog recovered = formed ? recoveredFromDisk : RecoveredLog.EMPTY;
 		this.configuration = configuration;
 		this.self = ReplicaId.of(configuration.self());
 		this.random = random;
-		this.nowNanos = nowNanos;
+		advanceClock(now);
 		this.snapshot = recovered.snapshot();
 		this.hardState = recovered.hardState();
 		this.log = new EntryLog(recovered.baseIndex(), recovered.baseTerm(), recovered.entries());
@@ -75,10 +86,15 @@
 		for (LogEntry entry : recovered.entries()) {
 			recordMembership(entry);
 		}
-		this.lastLeaderContactNanos = nowNanos;
+		this.lastLeaderContact = now.granted();
 		resetElectionDeadline();
 	}
 
+	void advanceClock(ClockReading now) {
+		this.nowNanos = now.held().nanos();
+		this.grantedNow = now.granted();
+	}
+
 	long term() {
 		return this.hardState.getTerm();
 	}
@@ -155,7 +171,7 @@
 
 	void resetElectionDeadline() {
 		long minimum = this.configuration.timings().electionTimeout().toNanos();
-		this.electionDeadlineNanos = this.nowNanos + minimum + this.random.nextLong(minimum);
+		this.electionDeadline = this.grantedNow.plus(Duration.ofNanos(minimum + this.random.nextLong(minimum)));
 	}
 
 	boolean isVoter() {
--- a/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
+++ b/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
@@ -19,6 +19,7 @@
 import io.verbenatrack.control.ReplicaTimings;
 import io.verbenatrack.control.StateMachine;
 import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -43,7 +44,7 @@
 		ReplicaSettings settings = new ReplicaSettings("test", SELF, List.of(SELF), this.folder, ReplicaTimings.DEFAULT,
 				limits, MembershipPolicy.DEFAULT, true);
 		Replica replica = Replica.start(settings, machine, ReplicaTransport.none(), (notice, detail) -> {
-		}, MonotonicClock.system());
+		}, LeaseClock.exact(MonotonicClock.system()));
 		await().atMost(Duration.ofSeconds(10)).until(replica::leads);
 		return replica;
 	}
--- a/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
+++ b/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
@@ -28,6 +28,7 @@
 import io.verbenatrack.control.configuration.GrpcConfigurationClient;
 import io.verbenatrack.control.driver.AppendingStateMachine;
 import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.model.Revision;
 
@@ -138,13 +139,14 @@
 
 	@Test
 	public void instanceWithoutReplicaRenewsConfigurationLease() {
-		ConfigurationLease lease = new ConfigurationLease(MonotonicClock.system(), (revision, declarations) -> {
-		});
+		ConfigurationLease lease = new ConfigurationLease(LeaseClock.exact(MonotonicClock.system()),
+				(revision, declarations) -> {
+				});
 		assertThat(lease.mayAdmit()).isFalse();
 		assertThat(lease.admissionProblem()).isPresent();
 		try (ConfigurationLeaseRenewer renewal = new ConfigurationLeaseRenewer(new InstanceId("entry"), lease,
-				this.peers, new GrpcConfigurationClient(Duration.ofMillis(300)), MonotonicClock.system(),
-				Duration.ofMillis(500))) {
+				this.peers, new GrpcConfigurationClient(Duration.ofMillis(300)),
+				LeaseClock.exact(MonotonicClock.system()), Duration.ofMillis(500))) {
 			renewal.start();
 			await().atMost(TIMEOUT).until(lease::mayAdmit);
 			assertThat(lease.revision()).isEqualTo(new Revision(1, 5));
@@ -181,7 +183,7 @@
 			node.replica = GrpcReplica.start(settings, node.machine,
 					() -> new ConfigurationAuthority.Applied("", new Revision(1, 5), ByteString.EMPTY),
 					(notice, detail) -> {
-					}, MonotonicClock.system());
+					}, LeaseClock.exact(MonotonicClock.system()));
 			node.server = NettyServerBuilder.forAddress(new InetSocketAddress(self.host(), self.port()))
 				.addService(node.replica.service())
 				.build()
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
@@ -12,6 +12,9 @@
 import io.verbenatrack.control.MembershipPolicy;
 import io.verbenatrack.control.ReplicaLimits;
 import io.verbenatrack.control.ReplicaTimings;
+import io.verbenatrack.model.ClockReading;
+import io.verbenatrack.model.GrantedTime;
+import io.verbenatrack.model.HeldTime;
 import io.verbenatrack.protocol.control.Announcement;
 import io.verbenatrack.protocol.control.AppendReply;
 import io.verbenatrack.protocol.control.AppendRequest;
@@ -49,9 +52,12 @@
 
 	private long now;
 
+	private long suspendedNanos;
+
 	@BeforeMethod
 	void startReplicaInTermThree() {
 		this.now = SECOND;
+		this.suspendedNanos = 0;
 		this.sent.clear();
 		this.notices.clear();
 		List<LogEntry> entries = List.of(entry(1, 1).setMembership(THREE_VOTERS).build(), entry(2, 2).build());
@@ -61,10 +67,14 @@
 
 	private void start(MembershipPolicy policy, RecoveredLog recovered) {
 		this.core = new ReplicaCore(new ReplicaConfiguration("test", member("a"), THREE_VOTERS.getVotersList(),
-				ReplicaTimings.DEFAULT, ReplicaLimits.DEFAULT, policy), recovered, new SplittableRandom(1), this.now);
+				ReplicaTimings.DEFAULT, ReplicaLimits.DEFAULT, policy), recovered, new SplittableRandom(1), reading());
 		run(new ReplicaEvent.Tick());
 	}
 
+	private ClockReading reading() {
+		return new ClockReading(new HeldTime(this.now + this.suspendedNanos), new GrantedTime(this.now));
+	}
+
 	private static ReplicaMember member(String name) {
 		return ReplicaMember.newBuilder().setInstance(name).setIncarnation("1").build();
 	}
@@ -78,7 +88,7 @@
 	}
 
 	private void run(ReplicaEvent event) {
-		this.core.handle(this.now, event);
+		this.core.handle(reading(), event);
 		for (ReplicaEffect effect : this.core.flush()) {
 			switch (effect) {
 				case ReplicaEffect.Send send -> this.sent.add(send.message());
@@ -207,7 +217,7 @@
 	public void proposalIsUnknownWhenLeadershipIsLostBeforeCommit() {
 		becomeLeader();
 		run(new ReplicaEvent.Proposed(7, ByteString.copyFromUtf8("x")));
-		this.core.handle(this.now,
+		this.core.handle(reading(),
 				new ReplicaEvent.Received(from("b", 20)
 					.setAppendRequest(AppendRequest.newBuilder().setPreviousIndex(2).setPreviousTerm(2))
 					.build()));
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -21,6 +21,7 @@
 import io.verbenatrack.fleet.state.JobState;
 import io.verbenatrack.fleet.state.StepState;
 import io.verbenatrack.fleet.state.TaskState;
+import io.verbenatrack.model.GrantedTime;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.WorkerId;
 
@@ -76,26 +77,27 @@
 	 * @param state the replicated state, which must not change during a decision
 	 * @param timings the timing parameters
 	 * @param term the term, which is the fencing token of all responses
-	 * @param nowNanos the start of the term in nanoseconds of the monotonic clock
+	 * @param now the start of the term
 	 */
-	public FleetScheduler(FleetState state, FleetTimings timings, long term, long nowNanos) {
+	public FleetScheduler(FleetState state, FleetTimings timings, long term, GrantedTime now) {
 		this.state = state;
 		this.timings = timings;
 		this.term = term;
-		this.registry = new WorkerRegistry(nowNanos, timings.maxLeaseNanos());
+		this.registry = new WorkerRegistry(now.nanos(), timings.maxLeaseNanos());
 		this.runMover = new StalledRunMover(state, this.registry);
-		this.earlierReportsEndNanos = nowNanos + timings.maxLeaseNanos();
+		this.earlierReportsEndNanos = now.nanos() + timings.maxLeaseNanos();
 		state.incarnationsInUse().forEach((incarnation) -> this.inheritedRuns.putAll(state.runsOn(incarnation)));
 	}
 
 	/**
 	 * Processes a heartbeat.
 	 * @param report the report of the worker
-	 * @param nowNanos the time of arrival in nanoseconds of the monotonic clock
+	 * @param arrived the time of arrival
 	 * @return the commands to commit before {@link #respond responding}, or empty when
 	 * the report is outdated
 	 */
-	public Optional<List<FleetCommand>> receiveReport(WorkerReport report, long nowNanos) {
+	public Optional<List<FleetCommand>> receiveReport(WorkerReport report, GrantedTime arrived) {
+		long nowNanos = arrived.nanos();
 		Optional<TrackedWorker> before = this.registry.worker(report.life());
 		boolean wasDraining = before.filter((worker) -> worker.report().draining()).isPresent();
 		Optional<TrackedWorker> known = this.registry.update(report, this.state.runsOn(report.life()).keySet(),
@@ -156,10 +158,11 @@
 	/**
 	 * Detects runs that are lost with their worker, and starts that a silent worker
 	 * cannot have received.
-	 * @param nowNanos the time in nanoseconds of the monotonic clock
+	 * @param now the time
 	 * @return the commands that end these runs
 	 */
-	public List<FleetCommand> detectLostRuns(long nowNanos) {
+	public List<FleetCommand> detectLostRuns(GrantedTime now) {
+		long nowNanos = now.nanos();
 		List<FleetCommand> commands = new ArrayList<>();
 		Duration silenceTimeout = this.timings.silenceTimeout(this.registry.workers().size());
 		for (WorkerIncarnation incarnation : this.state.incarnationsInUse()) {
@@ -194,12 +197,13 @@
 
 	/**
 	 * Decides which waiting tasks start now.
-	 * @param nowNanos the time in nanoseconds of the monotonic clock
+	 * @param now the time
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return the starts to commit; they are sent with the responses to the next
 	 * heartbeats of the workers
 	 */
-	public List<FleetCommand> placeTasks(long nowNanos, long nowMillis) {
+	public List<FleetCommand> placeTasks(GrantedTime now, long nowMillis) {
+		long nowNanos = now.nanos();
 		this.runMover.removeStale(nowNanos);
 		this.unsentStarts.entrySet().removeIf((start) -> !this.state.isRunning(start.getKey(), start.getValue()));
 		PlacementPass pass = new PlacementPass(this.state, this.registry, this.timings, this.runMover, this.preempted,
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
@@ -17,8 +17,11 @@
 public record FleetTimings(Duration lease, Duration leaseMargin, Duration silenceTimeout, Duration reportInterval,
 		Duration preemptionDelay) {
 
-	/** Maximum relative drift between the monotonic clocks of two machines. */
-	private static final double MAX_CLOCK_DRIFT = 0.03;
+	/**
+	 * Maximum relative drift between the clocks of two machines: one runs 2% slow and the
+	 * other one 2% fast.
+	 */
+	private static final double MAX_CLOCK_DRIFT = 1.02 / 0.98 - 1;
 
 	/**
 	 * Covers the latency of a response and the interval of the lease checks on a worker.
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerTests.java
@@ -46,7 +46,7 @@
 		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
 		report(ONE, List.of());
 		WorkerReport late = Fixtures.report(ONE, 0, false, List.of(), List.of());
-		assertThat(this.scheduler.receiveReport(late, nanos())).isEmpty();
+		assertThat(this.scheduler.receiveReport(late, time())).isEmpty();
 		HeartbeatResponse response = this.scheduler.respond(late);
 		assertThat(response.leaseMillis()).isZero();
 		assertThat(response.starts()).isEmpty();
@@ -55,7 +55,7 @@
 	@Test
 	public void reportOfAnEarlierIncarnationIsIgnored() {
 		report(Fixtures.report(new WorkerIncarnation(ONE.worker(), 9), 1, false, List.of(), List.of()));
-		assertThat(this.scheduler.receiveReport(Fixtures.report(ONE, 99, false, List.of(), List.of()), nanos()))
+		assertThat(this.scheduler.receiveReport(Fixtures.report(ONE, 99, false, List.of(), List.of()), time()))
 			.isEmpty();
 	}
 
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelFleet.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelFleet.java
@@ -23,6 +23,7 @@
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.fleet.state.JobState;
 import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.GrantedTime;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.WorkerId;
 
@@ -46,6 +47,8 @@
 	/** Enough for every accepted job to end once there are no more faults. */
 	private static final long END_MILLIS = 75_000;
 
+	private static final long MAX_SUSPENSION_MILLIS = 8000;
+
 	private static final long MIN_WORK_MILLIS = 200;
 
 	private static final long MAX_WORK_MILLIS = 4000;
@@ -75,6 +78,8 @@
 
 	private final Map<JobId, JobPlan> plans = new HashMap<>();
 
+	private final ModelClock clock;
+
 	private Optional<FleetScheduler> scheduler = Optional.empty();
 
 	/**
@@ -94,6 +99,11 @@
 
 	private long pausedUntilMillis;
 
+	private long suspendedUntilMillis;
+
+	/** Whether the wall clock of the leader jumps again and again in this seed. */
+	private final boolean jumpingClock;
+
 	private int bornWorkers;
 
 	private int newNames;
@@ -101,6 +111,8 @@
 	ModelFleet(long seed) {
 		this.random = new Random(seed);
 		this.faultRate = 1 + 6 * this.random.nextDouble();
+		this.clock = new ModelClock(this.random);
+		this.jumpingClock = this.random.nextBoolean();
 	}
 
 	long now() {
@@ -130,6 +142,7 @@
 		}
 		while (this.nowMillis < END_MILLIS && !settled()) {
 			this.nowMillis += TICK_MILLIS;
+			this.clock.advance(TICK_MILLIS, this.nowMillis < this.suspendedUntilMillis);
 			while (!this.network.isEmpty() && this.network.peek().atMillis <= this.nowMillis) {
 				this.network.poll().action.run();
 			}
@@ -291,6 +304,14 @@
 		if (chance(this.faultRate * 0.001)) {
 			this.pausedUntilMillis = this.nowMillis + this.random.nextLong(900);
 		}
+		if (chance(this.faultRate * 0.0003)) {
+			this.suspendedUntilMillis = this.nowMillis + this.random.nextLong(MAX_SUSPENSION_MILLIS);
+			this.pausedUntilMillis = Math.max(this.pausedUntilMillis, this.suspendedUntilMillis);
+			this.checker.note("suspended until " + this.suspendedUntilMillis);
+		}
+		if (this.jumpingClock && chance(0.02)) {
+			this.clock.stepWallClock();
+		}
 	}
 
 	private ModelWorker anyWorker() {
@@ -351,7 +372,7 @@
 			}
 		}
 		long atMillis = arrives;
-		at(atMillis, () -> this.queued.add(new Call(worker, report, sent, this.nowMillis)));
+		at(atMillis, () -> this.queued.add(new Call(worker, report, sent, this.clock.granted())));
 	}
 
 	private boolean leads() {
@@ -369,16 +390,12 @@
 
 	private void beginTerm() {
 		if (this.scheduler.isEmpty()) {
-			this.scheduler = Optional.of(new FleetScheduler(this.state, TIMINGS, this.term, nanos(this.nowMillis)));
+			this.scheduler = Optional.of(new FleetScheduler(this.state, TIMINGS, this.term, this.clock.granted()));
 			this.sequence = this.state.lastSequence(this.term);
 			this.checker.note("term " + this.term + " from " + this.sequence);
 		}
 	}
 
-	private static long nanos(long millis) {
-		return Duration.ofMillis(millis).toNanos();
-	}
-
 	// The turn of the fleet's event loop.
 	private void turn() {
 		List<Call> calls = List.copyOf(this.queued);
@@ -391,9 +408,9 @@
 		FleetScheduler current = this.scheduler.orElseThrow();
 		List<FleetCommand> commands = new ArrayList<>();
 		for (Call call : calls) {
-			commands.addAll(current.receiveReport(call.report, nanos(call.arrivedMillis)).orElse(List.of()));
+			commands.addAll(current.receiveReport(call.report, call.arrived).orElse(List.of()));
 		}
-		commands.addAll(current.detectLostRuns(nanos(this.nowMillis)));
+		commands.addAll(current.detectLostRuns(this.clock.granted()));
 		boolean faulty = this.nowMillis < FAULTY_MILLIS;
 		if (!commit(commands, faulty)) {
 			return;
@@ -402,7 +419,7 @@
 			changeLeader();
 			return;
 		}
-		if (!commit(current.placeTasks(nanos(this.nowMillis), this.nowMillis), faulty)) {
+		if (!commit(current.placeTasks(this.clock.granted(), this.nowMillis), faulty)) {
 			return;
 		}
 		int answered = (faulty && chance(this.faultRate * 0.001)) ? this.random.nextInt(calls.size() + 1)
@@ -470,7 +487,7 @@
 		this.undecided = Optional.empty();
 	}
 
-	private record Call(ModelWorker worker, WorkerReport report, long sentMillis, long arrivedMillis) {
+	private record Call(ModelWorker worker, WorkerReport report, long sentMillis, GrantedTime arrived) {
 
 	}
 
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/SchedulerFixture.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/SchedulerFixture.java
@@ -17,6 +17,7 @@
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.GrantedTime;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -56,11 +57,11 @@
 	void startNextTerm() {
 		this.term++;
 		this.sequence = 0;
-		this.scheduler = new FleetScheduler(this.state, TIMINGS, this.term, nanos());
+		this.scheduler = new FleetScheduler(this.state, TIMINGS, this.term, time());
 	}
 
-	long nanos() {
-		return Duration.ofMillis(this.nowMillis).toNanos();
+	GrantedTime time() {
+		return new GrantedTime(Duration.ofMillis(this.nowMillis).toNanos());
 	}
 
 	void commit(List<FleetCommand> commands) {
@@ -85,14 +86,14 @@
 	}
 
 	HeartbeatResponse report(WorkerReport report) {
-		commit(this.scheduler.receiveReport(report, nanos()).orElse(List.of()));
+		commit(this.scheduler.receiveReport(report, time()).orElse(List.of()));
 		place();
 		return this.scheduler.respond(report);
 	}
 
 	void place() {
-		commit(this.scheduler.detectLostRuns(nanos()));
-		commit(this.scheduler.placeTasks(nanos(), this.nowMillis));
+		commit(this.scheduler.detectLostRuns(time()));
+		commit(this.scheduler.placeTasks(time(), this.nowMillis));
 	}
 
 }
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
@@ -19,6 +19,7 @@
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.fleet.state.JobState;
 import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.GrantedTime;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
@@ -52,12 +53,12 @@
 		this.nowMillis = nowMillis;
 	}
 
-	CallDecision decide(FleetCall call, long arrivedNanos) {
+	CallDecision decide(FleetCall call, GrantedTime arrived) {
 		return switch (call) {
 			case FleetCall.SubmitJob submit -> decideInQueue(submit.origin(), (path) -> submit(path, submit));
 			case FleetCall.AskState ask -> decideInQueue(ask.origin(), this::queryState);
 			case FleetCall.CancelJob cancel -> decideInQueue(cancel.origin(), this::cancel);
-			case FleetCall.Heartbeat heartbeat -> heartbeat(heartbeat.report(), arrivedNanos);
+			case FleetCall.Heartbeat heartbeat -> heartbeat(heartbeat.report(), arrived);
 			case FleetCall.Leave leave -> {
 				this.scheduler.markWorkerLeft(leave.worker());
 				yield CallDecision.of(new FleetReply.Stored());
@@ -129,12 +130,12 @@
 		return CallDecision.afterCommit(new FleetCommand.CancelJob(path.jobId()), new FleetReply.Stored());
 	}
 
-	private CallDecision heartbeat(WorkerReport report, long arrivedNanos) {
+	private CallDecision heartbeat(WorkerReport report, GrantedTime arrived) {
 		Optional<Problem> problem = ReportCheck.problem(report, this.nowMillis);
 		if (problem.isPresent()) {
 			return CallDecision.of(new FleetReply.Invalid(problem.get()));
 		}
-		List<FleetCommand> commands = this.scheduler.receiveReport(report, arrivedNanos).orElse(List.of());
+		List<FleetCommand> commands = this.scheduler.receiveReport(report, arrived).orElse(List.of());
 		return new CallDecision(commands, () -> new FleetReply.Orders(this.scheduler.respond(report)));
 	}
 
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
@@ -16,9 +16,10 @@
 import io.verbenatrack.fleet.state.FleetCodec;
 import io.verbenatrack.model.Closer;
 import io.verbenatrack.model.InstanceId;
-import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.Revision;
 import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.LogEvent;
 import io.verbenatrack.telemetry.MetricName;
 import io.verbenatrack.telemetry.Metrics;
 
@@ -44,16 +45,19 @@
 	 * Starts a replica and the gRPC server for other instances.
 	 * @param settings the settings of the replica
 	 * @param timings the timing parameters of the leader
-	 * @param clock the monotonic clock
+	 * @param clock the clock for leases and timeouts
 	 * @param wallClock the wall clock
 	 * @param events the event log
 	 * @param metrics the metrics registry
 	 * @return the started instance
 	 * @throws IOException if the data folder or the address cannot be used
 	 */
-	public static ControlInstance start(ReplicaSettings settings, FleetTimings timings, MonotonicClock clock,
+	public static ControlInstance start(ReplicaSettings settings, FleetTimings timings, LeaseClock clock,
 			InstantSource wallClock, EventLog events, Metrics metrics) throws IOException {
 		Closer closer = new Closer();
+		if (!clock.exact()) {
+			events.write(LogEvent.LEASE_CLOCK_ESTIMATED);
+		}
 		try {
 			FleetCodec codec = new FleetCodec();
 			FleetStateMachine stateMachine = new FleetStateMachine(codec);
@@ -62,7 +66,7 @@
 					new LoggingReplicaListener(events), clock));
 			FleetLoop loop = closer.register(
 					new FleetLoop(replica.replica(), stateMachine, codec, timings, clock, wallClock, events, metrics));
-			FleetClient client = new MeteredFleetClient(loop, metrics, clock);
+			FleetClient client = new MeteredFleetClient(loop, metrics, () -> clock.held().nanos());
 			metrics.gauge(MetricName.CONTROL_TERM, () -> replica.replica().term());
 			metrics.gauge(MetricName.CONTROL_LEADER, () -> replica.replica().leads() ? 1 : 0);
 			metrics.gauge(MetricName.CONTROL_HALTED, () -> replica.replica().halted() ? 1 : 0);
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -26,7 +26,9 @@
 import io.verbenatrack.fleet.state.FleetBatch;
 import io.verbenatrack.fleet.state.FleetCodec;
 import io.verbenatrack.fleet.state.FleetCommand;
-import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.GrantedTime;
+import io.verbenatrack.model.HeldTime;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
 import io.verbenatrack.telemetry.EventLog;
@@ -86,7 +88,7 @@
 
 	private final FleetTimings timings;
 
-	private final MonotonicClock clock;
+	private final LeaseClock clock;
 
 	private final InstantSource wallClock;
 
@@ -112,13 +114,13 @@
 	 * @param stateMachine the state machine to which the log is applied
 	 * @param codec encodes batches
 	 * @param timings the timing parameters of the leader
-	 * @param clock the monotonic clock
+	 * @param clock the clock for the leases of workers and for timeouts
 	 * @param wallClock the wall clock, used for scheduled times
 	 * @param events the event log, which receives the decisions
 	 * @param metrics the metrics registry, which counts decisions and times turns
 	 */
 	public FleetLoop(ReplicatedLog log, FleetStateMachine stateMachine, FleetCodec codec, FleetTimings timings,
-			MonotonicClock clock, InstantSource wallClock, EventLog events, Metrics metrics) {
+			LeaseClock clock, InstantSource wallClock, EventLog events, Metrics metrics) {
 		this.log = log;
 		this.stateMachine = stateMachine;
 		this.codec = codec;
@@ -144,7 +146,7 @@
 		if (this.ended || !this.log.leads()) {
 			reply.complete(new FleetReply.NotLeading(this.log.leader()));
 		}
-		else if (!this.calls.offer(new WaitingCall(call, this.clock.nanoTime(), reply))) {
+		else if (!this.calls.offer(new WaitingCall(call, this.clock.granted(), reply))) {
 			reply.complete(new FleetReply.Refused(
 					new Problem(ProblemKind.OVERLOADED, "Too many calls wait for the leader.", "Come back later."),
 					OVERLOAD_RETRY_MILLIS));
@@ -180,9 +182,9 @@
 					batch.add(first);
 					this.calls.drainTo(batch, MAX_CALLS_PER_TURN - 1);
 				}
-				long startedNanos = this.clock.nanoTime();
+				GrantedTime started = this.clock.granted();
 				runTurn(batch);
-				this.turnTimer.record(this.clock.nanoTime() - startedNanos, TimeUnit.NANOSECONDS);
+				this.turnTimer.record(this.clock.granted().nanosSince(started), TimeUnit.NANOSECONDS);
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
@@ -224,7 +226,7 @@
 		long term = this.log.term();
 		if (this.currentTerm.isEmpty() || this.currentTerm.get().term != term) {
 			FleetScheduler scheduler = this.stateMachine
-				.read((state) -> new FleetScheduler(state, this.timings, term, this.clock.nanoTime()));
+				.read((state) -> new FleetScheduler(state, this.timings, term, this.clock.granted()));
 			long sequence = this.stateMachine.read((state) -> state.lastSequence(term));
 			this.currentTerm = Optional.of(new LeaderTerm(term, scheduler, sequence));
 			this.events.write(LogEvent.FLEET_LEADER_BEGAN, new EventLog.Field("term", term));
@@ -244,13 +246,13 @@
 		return this.stateMachine.read((state) -> {
 			CallDecider rules = new CallDecider(leaderTerm.scheduler, state, this.wallClock.millis());
 			batch.forEach((call) -> decisions.add(decide(rules, call)));
-			return leaderTerm.scheduler.detectLostRuns(this.clock.nanoTime());
+			return leaderTerm.scheduler.detectLostRuns(this.clock.granted());
 		});
 	}
 
 	private CallDecision decide(CallDecider rules, WaitingCall call) {
 		try {
-			return rules.decide(call.call(), call.arrivedNanos());
+			return rules.decide(call.call(), call.arrived());
 		}
 		catch (RuntimeException | StackOverflowError ex) {
 			logFailedCall(call.call(), ex);
@@ -306,7 +308,7 @@
 
 	private ProposalOutcome placeTasks(LeaderTerm leaderTerm) {
 		return commit(leaderTerm, this.stateMachine
-			.read((state) -> leaderTerm.scheduler.placeTasks(this.clock.nanoTime(), this.wallClock.millis())));
+			.read((state) -> leaderTerm.scheduler.placeTasks(this.clock.granted(), this.wallClock.millis())));
 	}
 
 	private static boolean committed(ProposalOutcome outcome) {
@@ -343,14 +345,14 @@
 	// A proposal that is still open when this replica no longer leads may never be
 	// completed, and the queued calls wait meanwhile.
 	private ProposalOutcome await(CompletableFuture<ProposalOutcome> proposal, long term) {
-		long startedNanos = this.clock.nanoTime();
+		HeldTime latest = this.clock.held().plus(MAX_COMMIT_WAIT);
 		while (true) {
 			try {
 				return proposal.get(LEADERSHIP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 			}
 			catch (TimeoutException ex) {
 				boolean leading = this.log.leads() && this.log.term() == term;
-				if (!leading || this.clock.nanoTime() - startedNanos > MAX_COMMIT_WAIT.toNanos()) {
+				if (!leading || latest.isBefore(this.clock.held())) {
 					return new ProposalOutcome.Unknown();
 				}
 			}
@@ -417,7 +419,7 @@
 
 	}
 
-	private record WaitingCall(FleetCall call, long arrivedNanos, CompletableFuture<FleetReply> reply) {
+	private record WaitingCall(FleetCall call, GrantedTime arrived, CompletableFuture<FleetReply> reply) {
 
 	}
 
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
@@ -29,6 +29,7 @@
 import io.verbenatrack.fleet.state.FleetCodec;
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
@@ -73,7 +74,7 @@
 		this.loop = new FleetLoop(this.log, this.stateMachine, this.codec,
 				new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250), Duration.ofSeconds(60),
 						Duration.ofMillis(200), Duration.ofMillis(500)),
-				MonotonicClock.system(), InstantSource.system(), events, new Metrics());
+				LeaseClock.exact(MonotonicClock.system()), InstantSource.system(), events, new Metrics());
 		this.loop.start();
 		assertThat(reply(call(configuration(1)))).isEqualTo(new FleetReply.Stored());
 	}
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
@@ -35,6 +35,7 @@
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.model.ServiceId;
 import io.verbenatrack.model.WorkerId;
@@ -71,7 +72,7 @@
 		this.loop = new FleetLoop(this.log, this.stateMachine, this.codec,
 				new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250), Duration.ofSeconds(60),
 						Duration.ofMillis(200), Duration.ofMillis(500)),
-				MonotonicClock.system(), InstantSource.system(), EventLog.none(), new Metrics());
+				LeaseClock.exact(MonotonicClock.system()), InstantSource.system(), EventLog.none(), new Metrics());
 		this.loop.start();
 		Queue queue = new Queue("q", "host", "/q/", SERVICE, 0, 1, 1, 1000, 3000, true);
 		call(new FleetCall.ChangeConfiguration(new FleetConfiguration(1, List.of(queue),
--- a/server/src/main/java/io/verbenatrack/server/ConfigurationModule.java
+++ b/server/src/main/java/io/verbenatrack/server/ConfigurationModule.java
@@ -12,7 +12,7 @@
 import io.verbenatrack.control.configuration.GrpcConfigurationClient;
 import io.verbenatrack.control.link.GrpcReplica;
 import io.verbenatrack.model.Closer;
-import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.server.configuration.DeclarationsHolder;
 import io.verbenatrack.server.configuration.LocalFirstConfigurationClient;
 import io.verbenatrack.settings.InstanceSettings;
@@ -39,14 +39,14 @@
 
 	@Provides
 	@InstanceScope
-	static ConfigurationLease lease(MonotonicClock clock, DeclarationsHolder inForce) {
+	static ConfigurationLease lease(LeaseClock clock, DeclarationsHolder inForce) {
 		return new ConfigurationLease(clock, inForce::update);
 	}
 
 	@Provides
 	@InstanceScope
 	static ConfigurationLeaseRenewer renewal(InstanceSettings settings, ConfigurationLease lease,
-			Optional<GrpcReplica> replica, ConfigurationState configuration, MonotonicClock clock, Closer closer) {
+			Optional<GrpcReplica> replica, ConfigurationState configuration, LeaseClock clock, Closer closer) {
 		Optional<ConfigurationAuthority> local = replica.map((grpcReplica) -> new ConfigurationAuthority(
 				grpcReplica.replica(), () -> new ConfigurationAuthority.Applied(settings.cluster(),
 						configuration.latest().revision(), configuration.latest().declarations()),
--- a/server/src/main/java/io/verbenatrack/server/ControlModule.java
+++ b/server/src/main/java/io/verbenatrack/server/ControlModule.java
@@ -22,6 +22,7 @@
 import io.verbenatrack.control.link.GrpcReplica;
 import io.verbenatrack.model.Closer;
 import io.verbenatrack.model.InstanceId;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.scheduling.Scheduler;
 import io.verbenatrack.scheduling.policy.GuaranteeScheduler;
@@ -49,6 +50,7 @@
 import io.verbenatrack.state.claims.ClaimState;
 import io.verbenatrack.state.configuration.ConfigurationState;
 import io.verbenatrack.telemetry.EventLog;
+import io.verbenatrack.telemetry.LogEvent;
 import io.verbenatrack.telemetry.Metrics;
 
 /**
@@ -106,7 +108,10 @@
 	@Provides
 	@InstanceScope
 	static Optional<GrpcReplica> grpcReplica(InstanceSettings settings, ControlStateMachine stateMachine,
-			ConfigurationState configuration, EventLog events, MonotonicClock clock, Closer closer) {
+			ConfigurationState configuration, EventLog events, LeaseClock clock, Closer closer) {
+		if (settings.data().isPresent() && !clock.exact()) {
+			events.write(LogEvent.LEASE_CLOCK_ESTIMATED);
+		}
 		return settings.data().map((folder) -> {
 			ReplicaSettings replica = new ReplicaSettings(settings.cluster(), ReplicaPeers.self(settings),
 					ReplicaPeers.all(settings), folder);
@@ -131,7 +136,7 @@
 	@InstanceScope
 	static Optional<LeaderDuty> leaderDuty(Optional<Replica> replica, JobsState jobs, RecordCodec codec,
 			HttpClient client, ApiJsonCodec jsonCodec, ScheduledExecutorService timer, InstantSource wallClock,
-			MonotonicClock clock, InstanceSettings settings, @AcceptedDeclarations DeclarationsHolder accepted,
+			LeaseClock clock, InstanceSettings settings, @AcceptedDeclarations DeclarationsHolder accepted,
 			Metrics metrics, EventLog events, Closer closer) {
 		return replica.map((log) -> {
 			LeaderLimits limits = new LeaderLimits(settings.limits().ringCapacity(), settings.limits().workers(),
--- a/server/src/main/java/io/verbenatrack/server/PlatformModule.java
+++ b/server/src/main/java/io/verbenatrack/server/PlatformModule.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.client.HttpClient;
 
 import io.verbenatrack.model.Closer;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.server.command.CommandCodec;
 import io.verbenatrack.server.http.ApiJsonCodec;
@@ -36,6 +37,12 @@
 		return InstantSource.system();
 	}
 
+	@Provides
+	@InstanceScope
+	static LeaseClock leaseClock() {
+		return LeaseClock.system();
+	}
+
 	@Provides
 	static MonotonicClock monotonicClock() {
 		return MonotonicClock.system();
--- a/server/src/main/java/io/verbenatrack/server/leader/LeaderDuty.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/LeaderDuty.java
@@ -14,7 +14,8 @@
 import io.verbenatrack.control.ProposalOutcome;
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.model.Declarations;
-import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.GrantedTime;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.scheduling.SchedulingDecision;
 import io.verbenatrack.server.command.CommandExecutor;
 import io.verbenatrack.server.command.CommandProblems;
@@ -62,7 +63,7 @@
 
 	private final InstantSource wallClock;
 
-	private final MonotonicClock clock;
+	private final LeaseClock clock;
 
 	private final LeaderLimits limits;
 
@@ -90,7 +91,7 @@
 
 	private int batchesInFlight;
 
-	private long nextTickNanos;
+	private GrantedTime nextTick;
 
 	private volatile boolean stopped;
 
@@ -108,7 +109,7 @@
 	 * @param listener receives the committed decisions and the failures
 	 */
 	public LeaderDuty(ReplicatedLog log, JobsState jobs, RecordCodec codec, WorkerPort workers,
-			ScheduledExecutorService timer, InstantSource wallClock, MonotonicClock clock, LeaderLimits limits,
+			ScheduledExecutorService timer, InstantSource wallClock, LeaseClock clock, LeaderLimits limits,
 			Supplier<Declarations> acceptedDeclarations, SchedulingListener listener) {
 		this.listener = listener;
 		this.log = log;
@@ -117,6 +118,7 @@
 		this.codec = codec;
 		this.wallClock = wallClock;
 		this.clock = clock;
+		this.nextTick = clock.granted();
 		this.limits = limits;
 		this.leases = new WorkerLeases(limits.workerLease(), WORKER_LEASE_MARGIN);
 		this.dispatcher = new MemberDispatcher(workers, timer, this.leases::url, this.actions::isCurrent);
@@ -195,7 +197,7 @@
 		this.openBatch = new PendingBatch();
 		this.newestBatchInFlight = null;
 		this.session = new SchedulingSession(copy.scheduler(), this.leases, this.limits);
-		this.leases.grantAll(this.session.workers(), this.clock.nanoTime());
+		this.leases.grantAll(this.session.workers(), this.clock.granted());
 		this.actions.restore(copy.scheduler().view()).forEach(this.dispatcher::send);
 		this.session.adopt(this.acceptedDeclarations.get(), this.wallClock.instant(), this.openBatch);
 	}
@@ -251,7 +253,7 @@
 			case EntryCommand.CancelJob cancel -> this.session.cancel(cancel, now, this.openBatch);
 			case EntryCommand.FindJob find -> this.session.find(find);
 			case EntryCommand.AnnounceWorker announce ->
-				this.session.announce(announce, now, this.clock.nanoTime(), this.openBatch);
+				this.session.announce(announce, now, this.clock.granted(), this.openBatch);
 			case EntryCommand.DrainWorker drain -> this.session.drain(drain, now, this.openBatch);
 			case EntryCommand.ReportMembers report -> this.session.report(report, now, this.openBatch);
 			case EntryCommand.AdoptDeclarations adopt -> this.session.adopt(adopt.declarations(), now, this.openBatch);
@@ -262,11 +264,11 @@
 	}
 
 	private void advanceTime() {
-		long now = this.clock.nanoTime();
-		if (this.session == null || now < this.nextTickNanos) {
+		GrantedTime now = this.clock.granted();
+		if (this.session == null || now.isBefore(this.nextTick)) {
 			return;
 		}
-		this.nextTickNanos = now + TICK_INTERVAL.toNanos();
+		this.nextTick = now.plus(TICK_INTERVAL);
 		this.session.advanceTime(this.wallClock.instant(), now, this.openBatch);
 	}
 
--- a/server/src/main/java/io/verbenatrack/server/leader/SchedulingSession.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/SchedulingSession.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import io.verbenatrack.model.Declarations;
+import io.verbenatrack.model.GrantedTime;
 import io.verbenatrack.model.JobOutcome;
 import io.verbenatrack.model.JobSpec;
 import io.verbenatrack.model.Problem;
@@ -89,13 +90,13 @@
 		return new EntryReply.JobStatus(job.job().id(), job.phase(), job.reason(), job.outcome());
 	}
 
-	EntryReply announce(EntryCommand.AnnounceWorker announce, Instant now, long nowNanos, PendingBatch batch) {
+	EntryReply announce(EntryCommand.AnnounceWorker announce, Instant now, GrantedTime time, PendingBatch batch) {
 		WorkerId worker = announce.worker().id();
 		if (!this.leases.isKnown(worker) && this.leases.size() >= this.maximumWorkers) {
 			return new EntryReply.Failed(new Problem(ProblemKind.OVERLOADED,
 					"The fleet has " + this.maximumWorkers + " workers already.", "Raise limits.workers."));
 		}
-		boolean restarted = this.leases.renew(worker, announce.url(), announce.incarnation(), nowNanos);
+		boolean restarted = this.leases.renew(worker, announce.url(), announce.incarnation(), time);
 		if (restarted) {
 			decide(new SchedulingEvent.WorkerLost(worker), now, batch);
 		}
@@ -132,8 +133,8 @@
 		return new EntryReply.Recorded();
 	}
 
-	void advanceTime(Instant now, long nowNanos, PendingBatch batch) {
-		for (WorkerId worker : this.leases.removeExpired(nowNanos)) {
+	void advanceTime(Instant now, GrantedTime time, PendingBatch batch) {
+		for (WorkerId worker : this.leases.removeExpired(time)) {
 			decide(new SchedulingEvent.WorkerLost(worker), now, batch);
 		}
 		decide(new SchedulingEvent.TimePassed(), now, batch);
--- a/server/src/main/java/io/verbenatrack/server/leader/WorkerLeases.java
+++ b/server/src/main/java/io/verbenatrack/server/leader/WorkerLeases.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
+import io.verbenatrack.model.GrantedTime;
 import io.verbenatrack.model.WorkerId;
 
 /**
@@ -35,9 +36,9 @@
 		return this.lease;
 	}
 
-	void grantAll(Collection<WorkerId> workers, long nowNanos) {
+	void grantAll(Collection<WorkerId> workers, GrantedTime now) {
 		this.entries.clear();
-		workers.forEach((worker) -> this.entries.put(worker, new Entry("", "", nowNanos)));
+		workers.forEach((worker) -> this.entries.put(worker, new Entry("", "", now)));
 	}
 
 	/**
@@ -46,11 +47,11 @@
 	 * @param url the base URL of the worker
 	 * @param incarnation an identifier that changes whenever the worker loses its running
 	 * members
-	 * @param nowNanos the monotonic time in nanoseconds
+	 * @param now the time
 	 * @return whether the worker has lost its running members since its last announcement
 	 */
-	boolean renew(WorkerId worker, String url, String incarnation, long nowNanos) {
-		Entry before = this.entries.put(worker, new Entry(url, incarnation, nowNanos));
+	boolean renew(WorkerId worker, String url, String incarnation, GrantedTime now) {
+		Entry before = this.entries.put(worker, new Entry(url, incarnation, now));
 		return before != null && !before.incarnation.isEmpty() && !before.incarnation.equals(incarnation);
 	}
 
@@ -66,11 +67,11 @@
 		return Optional.ofNullable(this.entries.get(worker)).map(Entry::url).filter((url) -> !url.isEmpty());
 	}
 
-	List<WorkerId> removeExpired(long nowNanos) {
+	List<WorkerId> removeExpired(GrantedTime now) {
 		long limit = this.lease.plus(this.margin).toNanos();
 		List<WorkerId> expired = new ArrayList<>();
 		this.entries.forEach((worker, entry) -> {
-			if (nowNanos - entry.renewedAtNanos > limit) {
+			if (now.nanosSince(entry.renewedAt) > limit) {
 				expired.add(worker);
 			}
 		});
@@ -79,7 +80,7 @@
 		return expired;
 	}
 
-	private record Entry(String url, String incarnation, long renewedAtNanos) {
+	private record Entry(String url, String incarnation, GrantedTime renewedAt) {
 
 	}
 
--- a/server/src/test/java/io/verbenatrack/server/leader/LeaderDutyTests.java
+++ b/server/src/test/java/io/verbenatrack/server/leader/LeaderDutyTests.java
@@ -21,6 +21,7 @@
 import io.verbenatrack.model.GangShape;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.JobSpec;
+import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.model.Urgency;
 import io.verbenatrack.scheduling.SchedulingDecision;
@@ -66,8 +67,8 @@
 		this.timer = Executors.newSingleThreadScheduledExecutor();
 		this.duty = new LeaderDuty(this.log, this.jobs, this.codec,
 				(url, action) -> CompletableFuture.completedFuture(WorkerPort.Delivery.TAKEN), this.timer,
-				new FailingOnceClock(), MonotonicClock.system(), new LeaderLimits(16, 10, 2, 1, Duration.ofSeconds(10)),
-				() -> DECLARED, new CountingListener());
+				new FailingOnceClock(), LeaseClock.exact(MonotonicClock.system()),
+				new LeaderLimits(16, 10, 2, 1, Duration.ofSeconds(10)), () -> DECLARED, new CountingListener());
 		this.duty.start();
 	}
 
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -25,6 +25,11 @@
 			"Requests were still in flight at the shutdown deadline.",
 			"Set timeouts.shutdown-deadline higher than the duration of the longest request."),
 
+	/** Suspensions of the machine cannot be measured. */
+	LEASE_CLOCK_ESTIMATED(1005, System.Logger.Level.WARNING,
+			"The boot-time clock cannot be read, so a jump of the wall clock counts as a suspension.",
+			"Run Java 22 or later on Linux. Until then a step of the wall clock ends the lease of the leader."),
+
 	/** An accepted configuration took effect on this instance. */
 	CONFIGURATION_APPLIED(1010, System.Logger.Level.INFO, "A new configuration took effect on this instance.",
 			"Nothing to do."),
