--- a/review/standins/review/Scenario.java
+++ b/review/standins/review/Scenario.java
@@ -117,8 +117,12 @@
 
 	/** Sends a configuration to one machine after the other until it is acknowledged. */
 	boolean configure(long version, List<Deployment.Machine> receivers) throws InterruptedException {
+		return configure(version, receivers, 40);
+	}
+
+	boolean configure(long version, List<Deployment.Machine> receivers, int maxTries) throws InterruptedException {
 		String body = configuration(version).toString();
-		for (int tries = 0; tries < 40; tries++) {
+		for (int tries = 0; tries < maxTries; tries++) {
 			Deployment.Machine receiver = receivers.get(tries % receivers.size());
 			Http.Answer answer = this.http.call("PUT", this.deployment.control(receiver), "/verbenatrack/config",
 					Map.of("Content-Type", "application/json"), body, Duration.ofSeconds(1));
