--- a/review/standins/review/ForeignEntry.java
+++ b/review/standins/review/ForeignEntry.java
@@ -64,12 +64,12 @@
 		body.put("service", "another-product").put("address", target.address()).put("zone", "zone-1");
 		body.put("version", "v1").put("slots", 8).put("state", "ready").put("coldLeftMs", 0);
 		body.put("born", System.currentTimeMillis());
-		body.putObject("room").put("cpu", 16000).put("memMb", 32768).put("gpu", 0);
+		body.putObject("room").put("cpu", 16000).put(Wire.MEMORY_MB, 32768).put("gpu", 0);
 		body.putArray("labels").add("a").add("r1-1");
-		body.put("clockMs", 0).put("seqNo", 1);
+		body.put("clockMs", 0).put(Wire.SEQUENCE_NUMBER, 1);
 		for (Deployment.Machine machine : this.controls) {
 			Http.Answer answer = this.http.call("PUT", this.deployment.control(machine),
-					"/verbenatrack/instances/" + id, Map.of("Content-Type", "application/json"), body.toString(),
+					Wire.INSTANCES_PATH + id, Map.of("Content-Type", "application/json"), body.toString(),
 					Duration.ofSeconds(1));
 			this.recorder.write("another writer sends an entry " + body + " to " + machine.name + ": "
 					+ answer.status() + " " + answer.body());
--- a/review/standins/review/GuaranteeTaken.java
+++ b/review/standins/review/GuaranteeTaken.java
@@ -31,7 +31,7 @@
 		ArrayNode tenants = (ArrayNode) configuration.get("tenants");
 		((ObjectNode) tenants.get(0).get("guaranteed")).put("gpu", 20);
 		ObjectNode other = tenants.addObject().put("name", "tenant-2");
-		other.putArray("apiKeys").add(OTHER_KEY);
+		other.putArray(Wire.KEYS).add(OTHER_KEY);
 		other.put("priority", 1).putObject("guaranteed").put("gpu", 20);
 		return configuration;
 	}
--- a/review/standins/review/RestartAfterChanges.java
+++ b/review/standins/review/RestartAfterChanges.java
@@ -48,7 +48,7 @@
 			for (int number = 0; number < NEW_ROUTES; number++) {
 				ObjectNode added = first.deepCopy();
 				added.put("name", "r-idle%04d".formatted(number)).put("host", "idle%04d.example".formatted(number));
-				added.put("pathPrefix", "/idle%04d/".formatted(number));
+				added.put(Wire.PATH_PREFIX, "/idle%04d/".formatted(number));
 				routes.add(added);
 			}
 		}
@@ -97,7 +97,7 @@
 		boolean read = false;
 		for (int tries = 0; tries < 6; tries++) {
 			for (Deployment.Machine machine : this.controls) {
-				Http.Answer answer = this.http.call("GET", this.deployment.control(machine), "/verbenatrack/config",
+				Http.Answer answer = this.http.call("GET", this.deployment.control(machine), Wire.CONFIGURATION_PATH,
 						Map.of(), null, Duration.ofSeconds(1));
 				long held = answer.success() ? Deployment.JSON.readTree(answer.body()).path("version").asLong() : -1;
 				this.recorder.write("operator reads the configuration at " + machine.name + ": " + answer.status()
@@ -141,7 +141,7 @@
 		String body = configuration(version).toString();
 		for (int tries = 0; tries < 3; tries++) {
 			Deployment.Machine receiver = this.controls.get((int) ((version + tries) % this.controls.size()));
-			Http.Answer answer = this.http.call("PUT", this.deployment.control(receiver), "/verbenatrack/config",
+			Http.Answer answer = this.http.call("PUT", this.deployment.control(receiver), Wire.CONFIGURATION_PATH,
 					Map.of("Content-Type", "application/json"), body, Duration.ofSeconds(2));
 			this.recorder.write("operator sends configuration " + version + " of " + body.length() + " bytes to "
 					+ receiver.name + ": " + answer.status());
