--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 jdk_home=$("$root/tools/find-jdk")
 mkdir -p "$root/target/review"
-cp "$root/review/standins/wire.properties" "$root/target/review/"
-"$jdk_home/bin/javac" -d "$root/target/review" -cp "$root/target/app/*" "$root"/review/standins/review/*.java
+cp "$root/review/wire.properties" "$root/target/review/"
+"$jdk_home/bin/javac" -d "$root/target/review" -cp "$root/target/app/*" "$root"/review/*.java
