Let replicas that do not answer take no place in the membership

Changes of the configuration and questions about jobs were answered with 503 for good.

Cause: the limit of seven replicas counted every member. A learner that was gone never left, so four replacements filled the membership: the fifth one was turned away, and the new incarnation of a voter that lost its disk was refused, since the lost one still counted. Each lost disk then cost a voter.

Change: the limit counts instances that answer the leader, each once. So what is gone cannot keep its replacement out, be it a learner, a voter or an earlier incarnation. A learner that is silent for three times the time after which a voter is replaced is removed; it announces itself and rejoins if it is not gone. Silence counts from the first contact, not from the election. Two log events tell who was removed or turned away, and why.

--- a/control/src/main/java/io/verbenatrack/control/ReplicaLimits.java
+++ b/control/src/main/java/io/verbenatrack/control/ReplicaLimits.java
@@ -12,7 +12,8 @@
  * @param entriesRetained how many entries up to a snapshot are kept in the log for slow
  * followers
  * @param chunkBytes the size of the chunks in which a snapshot is transferred, in bytes
- * @param maximumReplicas the maximum number of voters and learners together
+ * @param maximumReplicas the maximum number of instances with a voter or learner that
+ * answers the leader
  */
 public record ReplicaLimits(int commandBytes, int messageBytes, int unacknowledgedEntries, int pendingEvents,
 		int entriesBetweenSnapshots, int entriesRetained, int chunkBytes, int maximumReplicas) {
--- a/control/src/main/java/io/verbenatrack/control/driver/LoggingReplicaListener.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/LoggingReplicaListener.java
@@ -33,6 +33,8 @@
 			case REPLACING -> LogEvent.REPLICA_REPLACED;
 			case JOINED -> LogEvent.REPLICA_JOINED;
 			case LEARNER_BEHIND -> LogEvent.LEARNER_BEHIND;
+			case REMOVED -> LogEvent.REPLICA_REMOVED;
+			case TURNED_AWAY -> LogEvent.REPLICA_TURNED_AWAY;
 			case MEMBERSHIP -> LogEvent.MEMBERSHIP_CHANGED;
 			case DISK_FAILED -> LogEvent.DISK_FAILED;
 		};
--- a/control/src/main/java/io/verbenatrack/control/replica/FollowerProgress.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/FollowerProgress.java
@@ -24,6 +24,9 @@
 
 	final ReplicaMember member;
 
+	/** Since when the leader contacts the follower, on the leader's clock. */
+	private final long addedNanos;
+
 	Mode mode = Mode.PROBE;
 
 	long nextIndex;
@@ -43,9 +46,19 @@
 
 	long snapshotOffset;
 
-	FollowerProgress(ReplicaMember member, long nextIndex) {
+	FollowerProgress(ReplicaMember member, long nextIndex, long addedNanos) {
 		this.member = member;
 		this.nextIndex = nextIndex;
+		this.addedNanos = addedNanos;
+	}
+
+	/**
+	 * Returns since when the follower has not answered.
+	 * @return when the last message that it answered was sent, or when the leader first
+	 * contacted it, in nanoseconds of the leader's clock
+	 */
+	long lastContactNanos() {
+		return this.hasReplied ? this.lastAnsweredSendNanos : this.addedNanos;
 	}
 
 	void recordReply(long sent) {
--- a/control/src/main/java/io/verbenatrack/control/replica/Leadership.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/Leadership.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 import com.google.protobuf.ByteString;
 
@@ -22,6 +23,9 @@
  */
 final class Leadership {
 
+	/** The time for a member to answer a new leader, in election timeouts. */
+	private static final int FIRST_ANSWER_TIMEOUTS = 3;
+
 	private final ReplicaState state;
 
 	private final Map<ReplicaId, FollowerProgress> followers = new TreeMap<>();
@@ -70,7 +74,7 @@
 		this.followers.keySet().retainAll(others.stream().map(ReplicaId::of).toList());
 		for (ReplicaMember member : others) {
 			this.followers.computeIfAbsent(ReplicaId.of(member),
-					(id) -> new FollowerProgress(member, this.termStartIndex));
+					(id) -> new FollowerProgress(member, this.termStartIndex, this.state.nowNanos));
 		}
 	}
 
@@ -93,13 +97,48 @@
 	}
 
 	/**
-	 * Returns since when a follower has not answered.
-	 * @param follower the follower
-	 * @return when the last message that it answered was sent, or when this leadership
-	 * began, in nanoseconds of the monotonic clock
+	 * Returns how long a member has not answered this leader.
+	 * @param member the member
+	 * @return the time in nanoseconds, 0 for this replica and for a member not yet
+	 * contacted
+	 */
+	long silentNanos(ReplicaMember member) {
+		return follower(ReplicaId.of(member)).map((progress) -> this.state.nowNanos - progress.lastContactNanos())
+			.orElse(0L);
+	}
+
+	/**
+	 * Returns whether a member has not answered for so long that it may be replaced.
+	 * @param member the member
+	 * @return whether it is probably gone
+	 */
+	boolean isSilent(ReplicaMember member) {
+		return follower(ReplicaId.of(member)).filter((progress) -> silentNanos(member) >= maxSilenceNanos(progress))
+			.isPresent();
+	}
+
+	// A member that has never answered this leader was probably gone before its election,
+	// so that most of the time allowed has passed already.
+	private long maxSilenceNanos(FollowerProgress progress) {
+		long graceNanos = this.state.configuration.timings().electionTimeout().toNanos() * FIRST_ANSWER_TIMEOUTS;
+		long replaceAfterNanos = this.state.configuration.membershipPolicy().replaceAfter().toNanos();
+		return progress.hasReplied ? replaceAfterNanos : Math.min(graceNanos, replaceAfterNanos);
+	}
+
+	/**
+	 * Returns whether a membership has more replicas than the limit allows. The
+	 * incarnations of an instance count once, and replicas that do not answer do not
+	 * count, or lost ones would keep their replacements out.
+	 * @param membership the membership
+	 * @return whether it has too many replicas
 	 */
-	long lastContactNanos(FollowerProgress follower) {
-		return follower.hasReplied ? follower.lastAnsweredSendNanos : this.startedNanos;
+	boolean exceedsLimit(Membership membership) {
+		long answering = Stream.concat(membership.getVotersList().stream(), membership.getLearnersList().stream())
+			.filter((member) -> !isSilent(member))
+			.map(ReplicaMember::getInstance)
+			.distinct()
+			.count();
+		return answering > this.state.configuration.limits().maximumReplicas();
 	}
 
 	void propose(long token, ByteString command) {
--- a/control/src/main/java/io/verbenatrack/control/replica/MembershipChangeValidator.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/MembershipChangeValidator.java
@@ -30,7 +30,7 @@
 		if (!this.leadership.hasCommittedInTerm() || this.state.memberships.currentIndex() > this.state.commitIndex) {
 			return Optional.of(Refusal.MEMBERSHIP_CHANGE_PENDING);
 		}
-		if (next.getVotersCount() + next.getLearnersCount() > this.state.configuration.limits().maximumReplicas()) {
+		if (this.leadership.exceedsLimit(next)) {
 			return Optional.of(Refusal.TOO_MANY_REPLICAS);
 		}
 		Set<ReplicaId> currentVoters = ids(current.getVotersList());
--- a/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
@@ -14,15 +14,20 @@
 /**
  * Replaces a replica that lost its disk with its new incarnation, and an unresponsive
  * replica with a new one. The replacement joins as a learner. Once it has caught up, the
- * lost voter is removed and the learner becomes a voter.
+ * lost voter is removed and the learner becomes a voter. A learner that no longer answers
+ * is removed; it announces itself and joins again if it is not gone.
  */
 final class MembershipRepair {
 
 	/** The token of a change that the leader makes itself and nobody waits for. */
 	private static final long NO_TOKEN = 0;
 
-	/** The time for a voter to answer a new leader, in election timeouts. */
-	private static final int FIRST_ANSWER_TIMEOUTS = 3;
+	/**
+	 * After how many times the silence that replaces a voter a learner is removed. It is
+	 * not urgent, since a silent learner takes no place, and a frozen instance keeps its
+	 * membership.
+	 */
+	private static final int LEARNER_REMOVAL_FACTOR = 3;
 
 	private final ReplicaState state;
 
@@ -31,6 +36,9 @@
 	/** When each learner was last seen to have caught up, or reported as behind. */
 	private final Map<ReplicaId, Long> learnersSinceNanos = new TreeMap<>();
 
+	/** When each replica that is not admitted was last reported. */
+	private final Map<ReplicaId, Long> turnedAwayNanos = new TreeMap<>();
+
 	MembershipRepair(ReplicaState state, Leadership leadership) {
 		this.state = state;
 		this.leadership = leadership;
@@ -45,20 +53,27 @@
 			return;
 		}
 		Membership current = this.state.membership();
-		boolean known = this.state.memberships.all()
-			.stream()
-			.anyMatch((other) -> other.getInstance().equals(member.getInstance()));
-		int replicas = current.getVotersCount() + current.getLearnersCount();
-		if (!known && replicas >= this.state.configuration.limits().maximumReplicas()) {
-			return;
-		}
 		Membership.Builder next = current.toBuilder().clearLearners();
 		current.getLearnersList()
 			.stream()
 			.filter((learner) -> !learner.getInstance().equals(member.getInstance()))
 			.forEach(next::addLearners);
+		Membership withLearner = next.addLearners(member).build();
+		if (this.leadership.exceedsLimit(withLearner)) {
+			reportTurnedAway(ReplicaId.of(member));
+			return;
+		}
 		this.state.notifyListener(ReplicaNotice.REPLACING, ReplicaId.of(member).text());
-		this.leadership.changeMembership(NO_TOKEN, next.addLearners(member).build());
+		this.leadership.changeMembership(NO_TOKEN, withLearner);
+	}
+
+	private void reportTurnedAway(ReplicaId replica) {
+		this.turnedAwayNanos.values().removeIf((reported) -> this.state.nowNanos - reported >= replaceAfterNanos());
+		if (this.turnedAwayNanos.putIfAbsent(replica, this.state.nowNanos) == null) {
+			this.state.notifyListener(ReplicaNotice.TURNED_AWAY,
+					replica.text() + ", limit " + this.state.configuration.limits().maximumReplicas() + ", "
+							+ MembershipChangeValidator.describe(this.state.membership()));
+		}
 	}
 
 	void tick() {
@@ -66,16 +81,38 @@
 		if (changePending() || this.state.role != ReplicaRole.LEADER) {
 			return;
 		}
-		for (ReplicaMember learner : this.state.membership().getLearnersList()) {
-			if (caughtUp(learner)) {
-				Optional<Membership> next = withoutLostVoter(learner).or(() -> promotion(learner))
-					.or(this::withoutSilentVoter);
-				if (next.isPresent()) {
-					this.leadership.changeMembership(NO_TOKEN, next.get());
-					return;
-				}
-			}
-		}
+		this.state.membership()
+			.getLearnersList()
+			.stream()
+			.filter(this::caughtUp)
+			.flatMap((learner) -> repairWith(learner).stream())
+			.findFirst()
+			.or(this::withoutGoneLearner)
+			.ifPresent((next) -> this.leadership.changeMembership(NO_TOKEN, next));
+	}
+
+	private Optional<Membership> repairWith(ReplicaMember learner) {
+		return withoutLostVoter(learner).or(() -> promotion(learner)).or(this::withoutSilentVoter);
+	}
+
+	private Optional<Membership> withoutGoneLearner() {
+		return this.state.membership()
+			.getLearnersList()
+			.stream()
+			.filter((learner) -> this.leadership.silentNanos(learner) >= replaceAfterNanos() * LEARNER_REMOVAL_FACTOR)
+			.findFirst()
+			.map(this::withoutLearner);
+	}
+
+	private Membership withoutLearner(ReplicaMember gone) {
+		this.state.notifyListener(ReplicaNotice.REMOVED, describe(gone));
+		Membership.Builder next = this.state.membership().toBuilder().clearLearners();
+		this.state.membership()
+			.getLearnersList()
+			.stream()
+			.filter((learner) -> !learner.equals(gone))
+			.forEach(next::addLearners);
+		return next.build();
 	}
 
 	private void reportLearnersBehind() {
@@ -87,7 +124,7 @@
 			boolean caughtUp = caughtUp(learner);
 			boolean overdue = !caughtUp && this.state.nowNanos - since >= replaceAfterNanos();
 			if (overdue) {
-				this.state.notifyListener(ReplicaNotice.LEARNER_BEHIND, describe(id));
+				this.state.notifyListener(ReplicaNotice.LEARNER_BEHIND, describe(learner));
 			}
 			if (caughtUp || overdue) {
 				this.learnersSinceNanos.put(id, this.state.nowNanos);
@@ -95,15 +132,13 @@
 		}
 	}
 
-	private String describe(ReplicaId learner) {
-		return learner.text()
-				+ this.leadership.follower(learner)
-					.map((progress) -> ", mode " + progress.mode + ", has " + progress.matchIndex + " of "
-							+ this.state.commitIndex + " entries, last answered "
-							+ Duration.ofNanos(this.state.nowNanos - this.leadership.lastContactNanos(progress))
-								.toMillis()
-							+ " ms ago")
-					.orElse("");
+	private String describe(ReplicaMember member) {
+		ReplicaId id = ReplicaId.of(member);
+		return id.text() + this.leadership.follower(id)
+			.map((progress) -> ", mode " + progress.mode + ", has " + progress.matchIndex + " of "
+					+ this.state.commitIndex + " entries, last answered "
+					+ Duration.ofNanos(this.leadership.silentNanos(member)).toMillis() + " ms ago")
+			.orElse("");
 	}
 
 	private long replaceAfterNanos() {
@@ -136,8 +171,9 @@
 		Optional<ReplicaMember> silentVoter = this.state.membership()
 			.getVotersList()
 			.stream()
-			.filter(this::isSilent)
+			.filter(this.leadership::isSilent)
 			.findFirst();
+		silentVoter.ifPresent((voter) -> this.state.notifyListener(ReplicaNotice.REMOVED, describe(voter)));
 		return silentVoter.flatMap((voter) -> without(voter::equals));
 	}
 
@@ -148,20 +184,6 @@
 		return (next.getVotersCount() < current.getVotersCount()) ? Optional.of(next.build()) : Optional.empty();
 	}
 
-	private boolean isSilent(ReplicaMember voter) {
-		return !ReplicaId.of(voter).equals(this.state.self) && this.leadership.follower(ReplicaId.of(voter))
-			.filter((progress) -> this.state.nowNanos
-					- this.leadership.lastContactNanos(progress) < maxSilenceNanos(progress))
-			.isEmpty();
-	}
-
-	// A voter that has never answered this leader was probably gone before its election,
-	// so that most of the time allowed has passed already.
-	private long maxSilenceNanos(FollowerProgress progress) {
-		long graceNanos = this.state.configuration.timings().electionTimeout().toNanos() * FIRST_ANSWER_TIMEOUTS;
-		return progress.hasReplied ? replaceAfterNanos() : Math.min(graceNanos, replaceAfterNanos());
-	}
-
 	private Membership promoted(ReplicaMember learner) {
 		Membership current = this.state.membership();
 		Membership.Builder next = Membership.newBuilder().addAllVoters(current.getVotersList()).addVoters(learner);
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaNotice.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaNotice.java
@@ -26,6 +26,12 @@
 	/** A learner has not caught up for long, so that it cannot become a voter. */
 	LEARNER_BEHIND,
 
+	/** A replica was removed, because it did not answer for long. */
+	REMOVED,
+
+	/** A replica was not admitted, because the maximum number is reached. */
+	TURNED_AWAY,
+
 	/** A membership took effect. */
 	MEMBERSHIP,
 
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreFixture.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreFixture.java
@@ -57,9 +57,13 @@
 		this.suspendedNanos = 0;
 		this.sent.clear();
 		this.notices.clear();
-		List<LogEntry> entries = List.of(entry(1, 1).setMembership(THREE_VOTERS).build(), entry(2, 2).build());
+		startWithMembership(MembershipPolicy.DEFAULT, THREE_VOTERS);
+	}
+
+	void startWithMembership(MembershipPolicy policy, Membership membership) {
+		List<LogEntry> entries = List.of(entry(1, 1).setMembership(membership).build(), entry(2, 2).build());
 		HardState hard = HardState.newBuilder().setCluster(CLUSTER).setTerm(3).build();
-		start(MembershipPolicy.DEFAULT, new RecoveredLog(hard, SnapshotHeader.getDefaultInstance(), 0, 0, entries));
+		start(policy, new RecoveredLog(hard, SnapshotHeader.getDefaultInstance(), 0, 0, entries));
 	}
 
 	void start(MembershipPolicy policy, RecoveredLog recovered) {
@@ -81,7 +85,8 @@
 	}
 
 	static ReplicaMessage.Builder from(String name, long term) {
-		return ReplicaMessage.newBuilder().setCluster(CLUSTER).setFrom(name + "/1").setTo("a/1").setTerm(term);
+		String sender = name.contains("/") ? name : name + "/1";
+		return ReplicaMessage.newBuilder().setCluster(CLUSTER).setFrom(sender).setTo("a/1").setTerm(term);
 	}
 
 	void run(ReplicaEvent event) {
@@ -107,10 +112,19 @@
 	}
 
 	void becomeLeader() {
+		becomeLeader("b");
+	}
+
+	void becomeLeader(String... granting) {
 		this.now += 2 * SECOND;
 		run(new ReplicaEvent.Tick());
-		grantVote("b", true, this.core.term() + 1);
-		grantVote("b", false, this.core.term());
+		long term = this.core.term() + 1;
+		for (String voter : granting) {
+			grantVote(voter, true, term);
+		}
+		for (String voter : granting) {
+			grantVote(voter, false, term);
+		}
 		assertThat(this.core.role()).isEqualTo(ReplicaRole.LEADER);
 		this.sent.clear();
 	}
@@ -121,10 +135,14 @@
 	}
 
 	void announce(String name) {
+		announce(member(name));
+	}
+
+	void announce(ReplicaMember member) {
 		receive(ReplicaMessage.newBuilder()
-			.setFrom(name + "/1")
+			.setFrom(member.getInstance() + "/" + member.getIncarnation())
 			.setTo("a")
-			.setAnnouncement(Announcement.newBuilder().setMember(member(name))));
+			.setAnnouncement(Announcement.newBuilder().setMember(member)));
 	}
 
 	void passSecondWithAnswersOf(String... followers) {
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -121,6 +121,16 @@
 			"A replica that lost its disk or is new has not caught up for long, so that it does not vote.",
 			"Check that it runs and that both replicas reach each other; another loss may stop the cluster."),
 
+	/** A replica that does not answer was removed from the membership. */
+	REPLICA_REMOVED(2010, System.Logger.Level.WARNING,
+			"A replica that has not answered the leader for long was removed from the membership.",
+			"Nothing to do if the instance is gone; otherwise check it and its network connections. It rejoins by itself."),
+
+	/** A replica was not admitted to the membership. */
+	REPLICA_TURNED_AWAY(2011, System.Logger.Level.WARNING,
+			"A replica was not admitted, because as many replicas answer as there may be.",
+			"Stop a control instance that is not needed."),
+
 	/** A gang on borrowed accelerators is stopped to free them. */
 	GANG_RECLAIMED(3001, System.Logger.Level.INFO,
 			"A gang on borrowed accelerators is checkpointed and stopped to free them.",
