--- a/bench/src/main/java/io/verbenatrack/bench/capacity/LogGroup.java
+++ b/bench/src/main/java/io/verbenatrack/bench/capacity/LogGroup.java
@@ -1,6 +1,8 @@
 package io.verbenatrack.bench.capacity;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -129,12 +131,13 @@
 		}
 
 		@Override
-		public byte[] snapshot() {
-			return new byte[0];
+		public void snapshot(OutputStream output) {
+			// The state is empty.
 		}
 
 		@Override
-		public void restore(byte[] snapshot) {
+		public void restore(InputStream snapshot) {
+			// The state is empty.
 		}
 
 	}
--- a/bench/src/main/java/io/verbenatrack/bench/control/LogMeasurement.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/LogMeasurement.java
@@ -1,6 +1,8 @@
 package io.verbenatrack.bench.control;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -16,6 +18,7 @@
 
 import io.verbenatrack.bench.control.ControlBenchReport.LogThroughput;
 import io.verbenatrack.bench.control.ControlBenchReport.Recovery;
+import io.verbenatrack.control.LogLimits;
 import io.verbenatrack.control.MembershipPolicy;
 import io.verbenatrack.control.ProposalOutcome;
 import io.verbenatrack.control.ReplicaLimits;
@@ -119,7 +122,8 @@
 	 * @throws IOException if the files cannot be read or written
 	 */
 	Recovery measureRecovery(int entries) throws IOException {
-		ReplicaLimits limits = ReplicaLimits.DEFAULT.withSnapshots(Integer.MAX_VALUE, entries);
+		ReplicaLimits limits = ReplicaLimits.DEFAULT
+			.withLog(new LogLimits(Integer.MAX_VALUE, Long.MAX_VALUE, entries, Long.MAX_VALUE));
 		Path data = Files.createTempDirectory(this.folder, "recovery");
 		try {
 			appendEntries(data, limits, entries);
@@ -167,13 +171,13 @@
 		}
 
 		@Override
-		public byte[] snapshot() {
-			return ByteBuffer.allocate(Long.BYTES).putLong(this.count).array();
+		public void snapshot(OutputStream output) throws IOException {
+			output.write(ByteBuffer.allocate(Long.BYTES).putLong(this.count).array());
 		}
 
 		@Override
-		public void restore(byte[] snapshot) {
-			this.count = ByteBuffer.wrap(snapshot).getLong();
+		public void restore(InputStream snapshot) throws IOException {
+			this.count = ByteBuffer.wrap(snapshot.readAllBytes()).getLong();
 		}
 
 	}
--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedCluster.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedCluster.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 
+import io.verbenatrack.control.LogLimits;
 import io.verbenatrack.control.MembershipPolicy;
 import io.verbenatrack.control.ReplicaLimits;
 import io.verbenatrack.control.ReplicaPeer;
@@ -22,6 +23,9 @@
 
 	private static final int FIRST_PORT = 7_000;
 
+	/** Small enough that some logs are compacted by size and others by entries. */
+	private static final long LOG_BYTES = 16_000;
+
 	private static final int CHUNK_BYTES = 512;
 
 	/** Replicas after these join once the cluster has formed. */
@@ -50,9 +54,11 @@
 	SimulatedCluster(int size, int entriesBetweenSnapshots, SplittableRandom random) {
 		this.network = new SimulatedNetwork(this.clock, random.split());
 		ReplicaLimits defaults = ReplicaLimits.DEFAULT;
+		LogLimits log = new LogLimits(entriesBetweenSnapshots, LOG_BYTES, Math.max(1, entriesBetweenSnapshots / 4),
+				LOG_BYTES / 4);
 		this.limits = new ReplicaLimits(defaults.commandBytes(), defaults.messageBytes(),
-				defaults.unacknowledgedEntries(), defaults.pendingEvents(), entriesBetweenSnapshots,
-				Math.max(1, entriesBetweenSnapshots / 4), CHUNK_BYTES, defaults.maximumReplicas());
+				defaults.unacknowledgedEntries(), defaults.pendingEvents(), log, CHUNK_BYTES,
+				defaults.maximumReplicas());
 		List<ReplicaPeer> peers = new ArrayList<>();
 		for (int i = 0; i < size; i++) {
 			peers.add(new ReplicaPeer(new InstanceId("r" + i), "127.0.0.1", FIRST_PORT + i));
--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedReplica.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedReplica.java
@@ -1,5 +1,8 @@
 package io.verbenatrack.bench.control;
 
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -17,6 +20,7 @@
 import io.verbenatrack.control.replica.ReplicaEffect;
 import io.verbenatrack.control.replica.ReplicaEvent;
 import io.verbenatrack.control.replica.ReplicaRole;
+import io.verbenatrack.control.replica.SnapshotSchedule;
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.protocol.control.SnapshotHeader;
@@ -53,7 +57,7 @@
 
 	private long appliedIndex;
 
-	private long snapshotIndex;
+	private SnapshotSchedule snapshotSchedule;
 
 	private long epoch;
 
@@ -120,7 +124,7 @@
 		this.alive = true;
 		this.machine = new SimulatedStateMachine();
 		this.appliedIndex = 0;
-		this.snapshotIndex = 0;
+		this.snapshotSchedule = new SnapshotSchedule(this.cluster.limits().log());
 		startCore();
 	}
 
@@ -327,9 +331,14 @@
 		if (header.getIndex() <= this.appliedIndex) {
 			return;
 		}
-		this.machine.restore(this.disk.snapshot(header).toByteArray());
+		try {
+			this.machine.restore(this.disk.snapshot(header).newInput());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 		this.appliedIndex = header.getIndex();
-		this.snapshotIndex = header.getIndex();
+		this.snapshotSchedule.recordSnapshot(header);
 		this.epoch = header.getEpoch();
 	}
 
@@ -354,20 +363,20 @@
 		if (proposalCallback != null) {
 			proposalCallback.accept(new ProposalOutcome.Committed(index, result));
 		}
-		if (index - this.snapshotIndex >= this.cluster.limits().entriesBetweenSnapshots()) {
+		if (this.snapshotSchedule.recordApplied(committed.entry())) {
 			takeSnapshot(committed);
 		}
 	}
 
 	private void takeSnapshot(CommittedEntry committed) {
-		this.snapshotIndex = committed.entry().getIndex();
 		SnapshotHeader described = SnapshotHeader.newBuilder()
 			.setIndex(committed.entry().getIndex())
 			.setTerm(committed.entry().getTerm())
 			.setMembership(committed.membership())
 			.setEpoch(this.epoch)
 			.build();
-		byte[] state = this.machine.snapshot();
+		byte[] state = snapshot();
+		this.snapshotSchedule.recordSnapshot(described.toBuilder().setLength(state.length).build());
 		schedule(SYNC_NANOS, () -> {
 			if (!this.disk.full()) {
 				handle(new ReplicaEvent.SnapshotTaken(this.disk.saveSnapshot(described, state)));
@@ -375,4 +384,15 @@
 		});
 	}
 
+	private byte[] snapshot() {
+		ByteArrayOutputStream state = new ByteArrayOutputStream();
+		try {
+			this.machine.snapshot(state);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return state.toByteArray();
+	}
+
 }
--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedStateMachine.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedStateMachine.java
@@ -1,6 +1,8 @@
 package io.verbenatrack.bench.control;
 
-import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.nio.ByteBuffer;
 
 import io.verbenatrack.control.StateMachine;
@@ -51,18 +53,16 @@
 	}
 
 	@Override
-	public byte[] snapshot() {
+	public void snapshot(OutputStream output) throws IOException {
 		byte[] first = this.configuration.snapshot();
-		ByteArrayOutputStream all = new ByteArrayOutputStream();
-		all.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(first.length).array());
-		all.writeBytes(first);
-		all.writeBytes(this.claims.snapshot());
-		return all.toByteArray();
+		output.write(ByteBuffer.allocate(Integer.BYTES).putInt(first.length).array());
+		output.write(first);
+		output.write(this.claims.snapshot());
 	}
 
 	@Override
-	public void restore(byte[] snapshot) {
-		ByteBuffer buffer = ByteBuffer.wrap(snapshot);
+	public void restore(InputStream snapshot) throws IOException {
+		ByteBuffer buffer = ByteBuffer.wrap(snapshot.readAllBytes());
 		byte[] first = new byte[buffer.getInt()];
 		buffer.get(first);
 		byte[] second = new byte[buffer.remaining()];
--- a/control/src/main/java/io/verbenatrack/control/ReplicaLimits.java
+++ b/control/src/main/java/io/verbenatrack/control/ReplicaLimits.java
@@ -8,29 +8,26 @@
  * @param unacknowledgedEntries the maximum number of unacknowledged entries in flight to
  * one follower
  * @param pendingEvents the capacity of the event queue of the protocol thread
- * @param entriesBetweenSnapshots how many entries are applied between two snapshots
- * @param entriesRetained how many entries up to a snapshot are kept in the log for slow
- * followers
+ * @param log when the log is compacted, and what it retains then
  * @param chunkBytes the size of the chunks in which a snapshot is transferred, in bytes
  * @param maximumReplicas the maximum number of instances with a voter or learner that
  * answers the leader
  */
 public record ReplicaLimits(int commandBytes, int messageBytes, int unacknowledgedEntries, int pendingEvents,
-		int entriesBetweenSnapshots, int entriesRetained, int chunkBytes, int maximumReplicas) {
+		LogLimits log, int chunkBytes, int maximumReplicas) {
 
 	/** Defaults for instances with 64 MB of memory. */
-	public static final ReplicaLimits DEFAULT = new ReplicaLimits(1 << 21, 1 << 18, 4096, 4096, 10_000, 1_000, 1 << 18,
-			7);
+	public static final ReplicaLimits DEFAULT = new ReplicaLimits(1 << 21, 1 << 18, 4096, 4096, LogLimits.DEFAULT,
+			1 << 18, 7);
 
 	/**
-	 * Returns these limits with different snapshot settings.
-	 * @param between how many entries are applied between two snapshots
-	 * @param retained how many entries up to a snapshot are kept in the log
+	 * Returns these limits with different limits on the log.
+	 * @param changed the limits on the log
 	 * @return the limits
 	 */
-	public ReplicaLimits withSnapshots(int between, int retained) {
+	public ReplicaLimits withLog(LogLimits changed) {
 		return new ReplicaLimits(this.commandBytes, this.messageBytes, this.unacknowledgedEntries, this.pendingEvents,
-				between, retained, this.chunkBytes, this.maximumReplicas);
+				changed, this.chunkBytes, this.maximumReplicas);
 	}
 
 }
--- a/control/src/main/java/io/verbenatrack/control/StateMachine.java
+++ b/control/src/main/java/io/verbenatrack/control/StateMachine.java
@@ -1,5 +1,9 @@
 package io.verbenatrack.control;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+
 /**
  * A state machine that is driven by the replicated log. It is called by a single thread.
  */
@@ -23,15 +27,18 @@
 	}
 
 	/**
-	 * Serializes the complete state.
-	 * @return the state in a versioned format
+	 * Writes the complete state.
+	 * @param output receives the state in a versioned format; it is in memory, so that it
+	 * may be written to while the state is locked
+	 * @throws IOException if the state cannot be encoded
 	 */
-	byte[] snapshot();
+	void snapshot(OutputStream output) throws IOException;
 
 	/**
 	 * Replaces the complete state.
-	 * @param snapshot a state returned by {@link #snapshot()}
+	 * @param snapshot a state written by {@link #snapshot}
+	 * @throws IOException if the snapshot cannot be read
 	 */
-	void restore(byte[] snapshot);
+	void restore(InputStream snapshot) throws IOException;
 
 }
--- a/control/src/main/java/io/verbenatrack/control/driver/ApplyDuty.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/ApplyDuty.java
@@ -1,6 +1,7 @@
 package io.verbenatrack.control.driver;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.Optional;
@@ -8,10 +9,13 @@
 
 import org.jctools.queues.atomic.SpscAtomicArrayQueue;
 
+import io.verbenatrack.control.LogLimits;
 import io.verbenatrack.control.ProposalOutcome;
 import io.verbenatrack.control.StateMachine;
 import io.verbenatrack.control.replica.CommittedEntry;
 import io.verbenatrack.control.replica.ReplicaEvent;
+import io.verbenatrack.control.replica.SnapshotSchedule;
+import io.verbenatrack.control.storage.SnapshotBuffer;
 import io.verbenatrack.control.storage.SnapshotFolder;
 import io.verbenatrack.protocol.control.LogEntry;
 import io.verbenatrack.protocol.control.SnapshotHeader;
@@ -30,7 +34,7 @@
 
 	private final SnapshotFolder snapshots;
 
-	private final int entriesBetweenSnapshots;
+	private final SnapshotSchedule snapshotSchedule;
 
 	private final PendingRequests pendingRequests;
 
@@ -42,14 +46,11 @@
 
 	private long epoch;
 
-	private long snapshotIndex;
-
-	ApplyDuty(StateMachine stateMachine, SnapshotFolder snapshots, int entriesBetweenSnapshots,
-			PendingRequests pendingRequests, SpscAtomicArrayQueue<ApplyTask> tasks,
-			Consumer<ProtocolTask> completions) {
+	ApplyDuty(StateMachine stateMachine, SnapshotFolder snapshots, LogLimits limits, PendingRequests pendingRequests,
+			SpscAtomicArrayQueue<ApplyTask> tasks, Consumer<ProtocolTask> completions) {
 		this.stateMachine = stateMachine;
 		this.snapshots = snapshots;
-		this.entriesBetweenSnapshots = entriesBetweenSnapshots;
+		this.snapshotSchedule = new SnapshotSchedule(limits);
 		this.pendingRequests = pendingRequests;
 		this.tasks = tasks;
 		this.completions = completions;
@@ -84,7 +85,7 @@
 		if (committed.token() != 0) {
 			this.pendingRequests.complete(committed.token(), new ProposalOutcome.Committed(entry.getIndex(), result));
 		}
-		if (entry.getIndex() - this.snapshotIndex >= this.entriesBetweenSnapshots) {
+		if (this.snapshotSchedule.recordApplied(entry)) {
 			takeSnapshot(committed);
 		}
 	}
@@ -107,9 +108,11 @@
 			.setMembership(committed.membership())
 			.setEpoch(this.epoch)
 			.build();
-		this.snapshotIndex = committed.entry().getIndex();
 		try {
-			SnapshotHeader saved = this.snapshots.save(baseHeader, this.stateMachine.snapshot());
+			SnapshotBuffer state = new SnapshotBuffer();
+			this.stateMachine.snapshot(state);
+			SnapshotHeader saved = this.snapshots.save(baseHeader, state);
+			this.snapshotSchedule.recordSnapshot(saved);
 			this.completions.accept(new ProtocolTask.Handle(new ReplicaEvent.SnapshotTaken(saved)));
 		}
 		catch (IOException ex) {
@@ -121,14 +124,14 @@
 		if (header.getIndex() <= this.appliedIndex) {
 			return;
 		}
-		try {
-			this.stateMachine.restore(this.snapshots.load(header));
+		try (InputStream state = this.snapshots.open(header)) {
+			this.stateMachine.restore(state);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
 		this.appliedIndex = header.getIndex();
-		this.snapshotIndex = header.getIndex();
+		this.snapshotSchedule.recordSnapshot(header);
 		this.epoch = header.getEpoch();
 	}
 
--- a/control/src/main/java/io/verbenatrack/control/driver/LoggingReplicaListener.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/LoggingReplicaListener.java
@@ -35,6 +35,7 @@
 			case LEARNER_BEHIND -> LogEvent.LEARNER_BEHIND;
 			case REMOVED -> LogEvent.REPLICA_REMOVED;
 			case TURNED_AWAY -> LogEvent.REPLICA_TURNED_AWAY;
+			case COMPACTED -> LogEvent.LOG_COMPACTED;
 			case MEMBERSHIP -> LogEvent.MEMBERSHIP_CHANGED;
 			case DISK_FAILED -> LogEvent.DISK_FAILED;
 		};
--- a/control/src/main/java/io/verbenatrack/control/driver/Replica.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/Replica.java
@@ -73,8 +73,8 @@
 		LogFolder.Opened openedLog = LogFolder.open(settings.dataFolder(), snapshots.latest());
 		DiskDuty diskDuty = this.closer.register(new DiskDuty(settings.dataFolder(), snapshots, openedLog.log(),
 				settings.limits().chunkBytes(), settings.groupCommit(), this.queues.disk(), this.queues::complete));
-		this.applyDuty = new ApplyDuty(stateMachine, snapshots, settings.limits().entriesBetweenSnapshots(),
-				this.pendingRequests, this.queues.apply(), this.queues::complete);
+		this.applyDuty = new ApplyDuty(stateMachine, snapshots, settings.limits().log(), this.pendingRequests,
+				this.queues.apply(), this.queues::complete);
 		this.protocolDuty = new ProtocolDuty((recovered) -> createCore(settings, recovered), openedLog.recovered(),
 				clock, this.closer.register(transport), listener, this.pendingRequests, this.queues,
 				settings.groupCommit());
--- a/control/src/main/java/io/verbenatrack/control/replica/EntryLog.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/EntryLog.java
@@ -99,6 +99,26 @@
 		return slice;
 	}
 
+	/**
+	 * Returns the last index that need not be retained for slow followers.
+	 * @param through the last index that a snapshot covers
+	 * @param maximumEntries the maximum number of entries to retain up to this index
+	 * @param maximumBytes the maximum total size of these entries, in bytes
+	 * @return the index
+	 */
+	long discardable(long through, long maximumEntries, long maximumBytes) {
+		long index = through;
+		long bytes = 0;
+		while (index > this.baseIndex && through - index < maximumEntries) {
+			bytes += entry(index).getSerializedSize();
+			if (bytes > maximumBytes) {
+				break;
+			}
+			index--;
+		}
+		return index;
+	}
+
 	List<LogEntry> all() {
 		return List.copyOf(this.entries);
 	}
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import io.verbenatrack.control.LogLimits;
 import io.verbenatrack.control.ReplicaId;
 import io.verbenatrack.model.ClockReading;
 import io.verbenatrack.model.HeldTime;
@@ -180,9 +181,14 @@
 			return;
 		}
 		this.state.snapshot = header;
-		this.state.log.discardThrough(header.getIndex() - this.state.configuration.limits().entriesRetained());
+		LogLimits limits = this.state.configuration.limits().log();
+		this.state.log.discardThrough(
+				this.state.log.discardable(header.getIndex(), limits.entriesRetained(), limits.bytesRetained()));
 		this.state.memberships.discardBefore(this.state.log.baseIndex());
 		this.state.effects.rollLog(this.state.allRecords());
+		this.state.notifyListener(ReplicaNotice.COMPACTED,
+				"snapshot of " + header.getLength() + " bytes up to index " + header.getIndex() + ", log from index "
+						+ (this.state.log.baseIndex() + 1) + " to " + this.state.log.lastIndex());
 		this.state.trackDurableIndex();
 	}
 
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaNotice.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaNotice.java
@@ -32,6 +32,9 @@
 	/** A replica was not admitted, because the maximum number is reached. */
 	TURNED_AWAY,
 
+	/** A snapshot was taken and the entries that it covers were removed. */
+	COMPACTED,
+
 	/** A membership took effect. */
 	MEMBERSHIP,
 
--- a/control/src/main/java/io/verbenatrack/control/storage/DurableFiles.java
+++ b/control/src/main/java/io/verbenatrack/control/storage/DurableFiles.java
@@ -27,7 +27,13 @@
 		}
 	}
 
-	static void writeAtomically(Path file, ByteBuffer... parts) throws IOException {
+	static void sync(Path file) throws IOException {
+		try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
+			channel.force(true);
+		}
+	}
+
+	static void writeAtomically(Path file, List<ByteBuffer> parts) throws IOException {
 		Path temporary = file.resolveSibling(file.getFileName() + TEMPORARY_SUFFIX);
 		try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
 				StandardOpenOption.TRUNCATE_EXISTING)) {
--- a/control/src/main/java/io/verbenatrack/control/storage/LogFormat.java
+++ b/control/src/main/java/io/verbenatrack/control/storage/LogFormat.java
@@ -27,7 +27,7 @@
 	static final int RECORD_HEADER_BYTES = 16;
 
 	/** The maximum size of a message. A larger length is treated as damage. */
-	static final int MAXIMUM_MESSAGE_BYTES = 1 << 26;
+	static final int MAXIMUM_MESSAGE_BYTES = 1 << 23;
 
 	private static final byte[] MAGIC = "VTRKLOG\n".getBytes(StandardCharsets.US_ASCII);
 
--- a/control/src/main/java/io/verbenatrack/control/storage/ReplicaIdentity.java
+++ b/control/src/main/java/io/verbenatrack/control/storage/ReplicaIdentity.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.security.SecureRandom;
+import java.util.List;
 
 import io.verbenatrack.control.ReplicaId;
 import io.verbenatrack.model.InstanceId;
@@ -74,7 +75,8 @@
 		Path file = folder.resolve(IDENTITY_FILE);
 		if (!Files.exists(file) || LogFolder.isEmpty(folder)) {
 			ReplicaId created = new ReplicaId(instance, Long.toHexString(new SecureRandom().nextLong()));
-			DurableFiles.writeAtomically(file, ByteBuffer.wrap(created.text().getBytes(StandardCharsets.UTF_8)));
+			DurableFiles.writeAtomically(file,
+					List.of(ByteBuffer.wrap(created.text().getBytes(StandardCharsets.UTF_8))));
 			return created;
 		}
 		ReplicaId found = ReplicaId.parse(Files.readString(file));
--- a/control/src/main/java/io/verbenatrack/control/storage/SnapshotFolder.java
+++ b/control/src/main/java/io/verbenatrack/control/storage/SnapshotFolder.java
@@ -1,5 +1,6 @@
 package io.verbenatrack.control.storage;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,6 +9,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.zip.CRC32C;
@@ -31,6 +34,8 @@
 
 	private static final String PARTIAL_SUFFIX = ".part";
 
+	private static final int BUFFER_BYTES = 1 << 16;
+
 	/** The latest snapshot, and the previous one for a transfer in progress. */
 	private static final int RETAINED_SNAPSHOTS = 2;
 
@@ -83,30 +88,53 @@
 	 * @return the complete header
 	 * @throws IOException if it cannot be written
 	 */
-	public SnapshotHeader save(SnapshotHeader baseHeader, byte[] state) throws IOException {
+	public SnapshotHeader save(SnapshotHeader baseHeader, SnapshotBuffer state) throws IOException {
 		SnapshotHeader header = baseHeader.toBuilder()
 			.setFormat(VERSION)
-			.setLength(state.length)
-			.setChecksum(checksum(ByteBuffer.wrap(state)))
+			.setLength(state.length())
+			.setChecksum(state.checksum())
 			.build();
-		DurableFiles.writeAtomically(fileOf(header), ByteBuffer.wrap(encodeHeader(header)), ByteBuffer.wrap(state));
+		List<ByteBuffer> parts = new ArrayList<>();
+		parts.add(ByteBuffer.wrap(encodeHeader(header)));
+		parts.addAll(state.segments());
+		DurableFiles.writeAtomically(fileOf(header), parts);
 		deleteOldSnapshots();
 		return header;
 	}
 
 	/**
-	 * Reads the state of a snapshot.
+	 * Opens the state of a snapshot, which the caller has to close.
 	 * @param header the header of the snapshot
 	 * @return the state
 	 * @throws IOException if it is missing or damaged
 	 */
-	public byte[] load(SnapshotHeader header) throws IOException {
-		byte[] state = read(fileOf(header), encodeHeader(header).length, (int) header.getLength());
-		if (state.length != header.getLength() || checksum(ByteBuffer.wrap(state)) != header.getChecksum()) {
-			throw new StorageException("The snapshot " + fileOf(header) + " is damaged.",
+	public InputStream open(SnapshotHeader header) throws IOException {
+		Path file = fileOf(header);
+		int start = encodeHeader(header).length;
+		if (Files.size(file) - start != header.getLength() || checksum(file, start) != header.getChecksum()) {
+			throw new StorageException("The snapshot " + file + " is damaged.",
 					"Move the data folder away and start with an empty one; the other replicas fill it.");
 		}
-		return state;
+		return stateOf(file, start);
+	}
+
+	private static InputStream stateOf(Path file, int start) throws IOException {
+		InputStream input = new BufferedInputStream(Files.newInputStream(file), BUFFER_BYTES);
+		input.skipNBytes(start);
+		return input;
+	}
+
+	private static int checksum(Path file, int start) throws IOException {
+		CRC32C crc = new CRC32C();
+		byte[] buffer = new byte[BUFFER_BYTES];
+		try (InputStream input = stateOf(file, start)) {
+			int count = input.read(buffer);
+			while (count >= 0) {
+				crc.update(buffer, 0, count);
+				count = input.read(buffer);
+			}
+		}
+		return (int) crc.getValue();
 	}
 
 	/**
@@ -123,7 +151,7 @@
 			return Optional.empty();
 		}
 		int length = (int) Math.min(bytes, header.getLength() - offset);
-		return Optional.of(ByteString.copyFrom(read(file, encodeHeader(header).length + offset, length)));
+		return Optional.of(read(file, encodeHeader(header).length + offset, length));
 	}
 
 	/**
@@ -142,27 +170,39 @@
 			return header.getLength();
 		}
 		Path partial = this.folder.resolve(fileOf(header).getFileName() + "." + header.getChecksum() + PARTIAL_SUFFIX);
-		long length = appendChunk(partial, offset, data);
+		byte[] encodedHeader = encodeHeader(header);
+		long length = appendChunk(partial, encodedHeader, offset, data);
 		if (length < header.getLength()) {
 			return length;
 		}
-		byte[] state = Files.readAllBytes(partial);
-		Files.delete(partial);
-		if (checksum(ByteBuffer.wrap(state)) != header.getChecksum()) {
+		// A loss of power may have torn parts that were received before it.
+		if (!startsWith(partial, encodedHeader) || checksum(partial, encodedHeader.length) != header.getChecksum()) {
+			Files.delete(partial);
 			return 0;
 		}
-		DurableFiles.writeAtomically(fileOf(header), ByteBuffer.wrap(encodeHeader(header)), ByteBuffer.wrap(state));
+		DurableFiles.sync(partial);
+		DurableFiles.moveIntoPlace(partial, fileOf(header));
 		deleteOldSnapshots();
 		return header.getLength();
 	}
 
-	private static long appendChunk(Path partial, long offset, ByteString data) throws IOException {
-		try (FileChannel channel = FileChannel.open(partial, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-				StandardOpenOption.APPEND)) {
-			if (channel.size() == offset) {
+	private static boolean startsWith(Path file, byte[] prefix) throws IOException {
+		try (InputStream input = Files.newInputStream(file)) {
+			return Arrays.equals(input.readNBytes(prefix.length), prefix);
+		}
+	}
+
+	// The header comes first, so that the complete file need not be written again.
+	private static long appendChunk(Path partial, byte[] header, long offset, ByteString data) throws IOException {
+		try (FileChannel channel = FileChannel.open(partial, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+			if (channel.size() < header.length) {
+				DurableFiles.writeFully(channel, ByteBuffer.wrap(header));
+			}
+			if (channel.size() == header.length + offset) {
+				channel.position(channel.size());
 				DurableFiles.writeFully(channel, data.asReadOnlyByteBuffer());
 			}
-			return channel.size();
+			return channel.size() - header.length;
 		}
 	}
 
@@ -186,7 +226,7 @@
 		return output.toByteArray();
 	}
 
-	private static byte[] read(Path file, long position, int length) throws IOException {
+	private static ByteString read(Path file, long position, int length) throws IOException {
 		ByteBuffer buffer = ByteBuffer.allocate(Math.max(0, length));
 		try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
 			int read = 0;
@@ -194,15 +234,7 @@
 				read = channel.read(buffer, position + buffer.position());
 			}
 		}
-		byte[] content = new byte[buffer.position()];
-		buffer.flip().get(content);
-		return content;
-	}
-
-	private static int checksum(ByteBuffer state) {
-		CRC32C crc = new CRC32C();
-		crc.update(state);
-		return (int) crc.getValue();
+		return ByteString.copyFrom(buffer.flip());
 	}
 
 }
--- a/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
+++ b/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
@@ -1,16 +1,21 @@
 package io.verbenatrack.control.driver;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import io.verbenatrack.control.LogLimits;
 import io.verbenatrack.control.MembershipPolicy;
 import io.verbenatrack.control.ProposalOutcome;
 import io.verbenatrack.control.ReplicaLimits;
@@ -18,6 +23,7 @@
 import io.verbenatrack.control.ReplicaSettings;
 import io.verbenatrack.control.ReplicaTimings;
 import io.verbenatrack.control.StateMachine;
+import io.verbenatrack.control.replica.ReplicaNotice;
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
@@ -41,10 +47,15 @@
 	}
 
 	private Replica start(StateMachine machine, ReplicaLimits limits) throws IOException {
+		return start(machine, limits, (notice, detail) -> {
+		});
+	}
+
+	private Replica start(StateMachine machine, ReplicaLimits limits, ReplicaListener listener) throws IOException {
 		ReplicaSettings settings = new ReplicaSettings("test", SELF, List.of(SELF), this.folder, ReplicaTimings.DEFAULT,
 				limits, MembershipPolicy.DEFAULT, true);
-		Replica replica = Replica.start(settings, machine, ReplicaTransport.none(), (notice, detail) -> {
-		}, LeaseClock.exact(MonotonicClock.system()));
+		Replica replica = Replica.start(settings, machine, ReplicaTransport.none(), listener,
+				LeaseClock.exact(MonotonicClock.system()));
 		await().atMost(Duration.ofSeconds(10)).until(replica::leads);
 		return replica;
 	}
@@ -89,7 +100,7 @@
 
 	@Test
 	public void restartsFromSnapshotAndLaterEntries() throws Exception {
-		ReplicaLimits limits = ReplicaLimits.DEFAULT.withSnapshots(10, 3);
+		ReplicaLimits limits = ReplicaLimits.DEFAULT.withLog(LogLimits.DEFAULT.withEntries(10, 3));
 		AppendingStateMachine before = new AppendingStateMachine();
 		try (Replica replica = start(before, limits)) {
 			for (int i = 0; i < 57; i++) {
@@ -103,6 +114,47 @@
 		}
 	}
 
+	private long logBytes() throws IOException {
+		try (Stream<Path> files = Files.list(this.folder)) {
+			return files.filter((file) -> file.getFileName().toString().endsWith(".records"))
+				.mapToLong((file) -> file.toFile().length())
+				.sum();
+		}
+	}
+
+	// Guards against a log that outgrows memory and disk: few commands, but large ones.
+	@Test
+	public void logOfLargeCommandsIsCompactedBySize() throws Exception {
+		LogLimits limits = LogLimits.DEFAULT.withBytes(100_000, 30_000);
+		int commandBytes = 10_000;
+		AppendingStateMachine machine = new AppendingStateMachine(1_000);
+		try (Replica replica = start(machine, ReplicaLimits.DEFAULT.withLog(limits))) {
+			for (int i = 0; i < 60; i++) {
+				propose(replica, Integer.toString(i % 10).repeat(commandBytes));
+			}
+			await().atMost(Duration.ofSeconds(10)).until(() -> logBytes() < 200_000);
+		}
+		AppendingStateMachine restarted = new AppendingStateMachine(1_000);
+		try (Replica replica = start(restarted, ReplicaLimits.DEFAULT.withLog(limits))) {
+			assertThat(restarted.text()).isEqualTo(machine.text());
+		}
+	}
+
+	// Guards against a snapshot after each few entries of a state that is itself large.
+	@Test
+	public void largeStateIsNotWrittenMoreOftenThanTheLogOutgrowsIt() throws Exception {
+		LogLimits limits = LogLimits.DEFAULT.withBytes(1_000, 1_000);
+		List<ReplicaNotice> notices = new CopyOnWriteArrayList<>();
+		try (Replica replica = start(new AppendingStateMachine(), ReplicaLimits.DEFAULT.withLog(limits),
+				(notice, detail) -> notices.add(notice))) {
+			propose(replica, "x".repeat(100_000));
+			for (int i = 0; i < 50; i++) {
+				propose(replica, "y".repeat(1_000));
+			}
+		}
+		assertThat(notices).filteredOn(ReplicaNotice.COMPACTED::equals).hasSize(1);
+	}
+
 	@Test
 	public void refusesOversizedCommandAndContinues() throws Exception {
 		try (Replica replica = start(new AppendingStateMachine(), ReplicaLimits.DEFAULT)) {
@@ -135,12 +187,12 @@
 			}
 
 			@Override
-			public byte[] snapshot() {
-				return new byte[0];
+			public void snapshot(OutputStream output) {
+				// Nothing to write.
 			}
 
 			@Override
-			public void restore(byte[] snapshot) {
+			public void restore(InputStream snapshot) {
 				// Nothing to restore.
 			}
 
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreFixture.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreFixture.java
@@ -45,6 +45,8 @@
 
 	final List<ReplicaNotice> notices = new ArrayList<>();
 
+	final List<ReplicaEffect> snapshotWork = new ArrayList<>();
+
 	ReplicaCore core;
 
 	long now;
@@ -57,6 +59,7 @@
 		this.suspendedNanos = 0;
 		this.sent.clear();
 		this.notices.clear();
+		this.snapshotWork.clear();
 		startWithMembership(MembershipPolicy.DEFAULT, THREE_VOTERS);
 	}
 
@@ -96,6 +99,9 @@
 				case ReplicaEffect.Send send -> this.sent.add(send.message());
 				case ReplicaEffect.Notify notify -> this.notices.add(notify.notice());
 				case ReplicaEffect.Persist persist -> run(new ReplicaEvent.Synced(persist.ticket()));
+				case ReplicaEffect.Roll roll -> run(new ReplicaEvent.Synced(roll.ticket()));
+				case ReplicaEffect.ReadChunk read -> this.snapshotWork.add(read);
+				case ReplicaEffect.WriteChunk write -> this.snapshotWork.add(write);
 				default -> {
 				}
 			}
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCodec.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCodec.java
@@ -1,5 +1,8 @@
 package io.verbenatrack.fleet.state;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
 
 import io.verbenatrack.state.RecordCodec;
@@ -33,22 +36,23 @@
 	/**
 	 * Encodes a snapshot of a state.
 	 * @param state the state
-	 * @return the encoded snapshot
+	 * @param output receives the encoded snapshot; it is not closed
+	 * @throws IOException if it cannot be written
 	 */
-	public byte[] snapshot(FleetState state) {
-		return this.records.encode(state.snapshot());
+	public void snapshot(FleetState state, OutputStream output) throws IOException {
+		this.records.encode(state.snapshot(), output);
 	}
 
 	/**
 	 * Replaces the content of a state by a snapshot.
 	 * @param state the state to replace
-	 * @param bytes the output of {@link #snapshot}
-	 * @throws UncheckedIOException when the bytes are not an encoded snapshot
+	 * @param input the output of {@link #snapshot}
+	 * @throws IOException when the bytes cannot be read or are not an encoded snapshot
 	 * @throws IllegalArgumentException when the snapshot has an unsupported format
 	 * version
 	 */
-	public void restore(FleetState state, byte[] bytes) {
-		FleetState.FleetSnapshot snapshot = this.records.decode(bytes, FleetState.FleetSnapshot.class);
+	public void restore(FleetState state, InputStream input) throws IOException {
+		FleetState.FleetSnapshot snapshot = this.records.decode(input, FleetState.FleetSnapshot.class);
 		if (snapshot.format() != FleetState.FleetSnapshot.FORMAT) {
 			throw new IllegalArgumentException("The snapshot has format " + snapshot.format()
 					+ ", which this version does not know. Start the version that wrote it.");
--- a/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
@@ -1,5 +1,9 @@
 package io.verbenatrack.fleet.state;
 
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
 
 import org.testng.annotations.Test;
@@ -34,12 +38,28 @@
 		sample.apply(new FleetBatch(1, 1, List.of(SampleRecords.of(FleetCommand.AdoptConfiguration.class).getFirst(),
 				accepted, new FleetCommand.StartRun(new TaskId(accepted.job(), 0, 0, 0), 1, life))));
 		assertThat(sample.runsOn(life)).hasSize(1);
-		this.golden.assertCompatible("snapshot", List.of(sample), this::restored, this.codec::snapshot);
+		this.golden.assertCompatible("snapshot", List.of(sample), this::restored, this::snapshot);
+	}
+
+	private byte[] snapshot(FleetState state) {
+		ByteArrayOutputStream output = new ByteArrayOutputStream();
+		try {
+			this.codec.snapshot(state, output);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return output.toByteArray();
 	}
 
 	private FleetState restored(byte[] bytes) {
 		FleetState state = new FleetState();
-		this.codec.restore(state, bytes);
+		try {
+			this.codec.restore(state, new ByteArrayInputStream(bytes));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 		return state;
 	}
 
--- a/fleet/src/test/java/io/verbenatrack/fleet/state/FleetStateTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/FleetStateTests.java
@@ -1,5 +1,8 @@
 package io.verbenatrack.fleet.state;
 
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.List;
 
 import org.testng.annotations.BeforeMethod;
@@ -170,15 +173,22 @@
 		assertThat(phase()).isEqualTo(JobPhase.CANCELLED);
 	}
 
+	private static byte[] snapshot(FleetCodec codec, FleetState state) throws IOException {
+		ByteArrayOutputStream output = new ByteArrayOutputStream();
+		codec.snapshot(state, output);
+		return output.toByteArray();
+	}
+
 	@Test
-	public void snapshotRestoresEverything() {
+	public void snapshotRestoresEverything() throws IOException {
 		FleetCodec codec = new FleetCodec();
 		accept(Fixtures.plan(Fixtures.step(2, 1, true), Fixtures.step(1, 1, false, 0)));
 		start(task(0, 0), 1);
 		start(task(0, 1), 1);
 		FleetState copy = new FleetState();
-		codec.restore(copy, codec.snapshot(this.state));
-		assertThat(codec.snapshot(copy)).isEqualTo(codec.snapshot(this.state));
+		byte[] snapshot = snapshot(codec, this.state);
+		codec.restore(copy, new ByteArrayInputStream(snapshot));
+		assertThat(snapshot(codec, copy)).isEqualTo(snapshot);
 		assertThat(copy.runsOn(INCARNATION)).isEqualTo(this.state.runsOn(INCARNATION));
 		assertThat(copy.unfinishedJobs()).hasSize(1);
 		FleetBatch next = codec.batch(codec.encode(new FleetBatch(1, this.sequence + 1,
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetStateMachine.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetStateMachine.java
@@ -1,5 +1,8 @@
 package io.verbenatrack.fleetd;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.util.function.Function;
 
 import io.verbenatrack.control.StateMachine;
@@ -34,12 +37,12 @@
 	}
 
 	@Override
-	public synchronized byte[] snapshot() {
-		return this.codec.snapshot(this.state);
+	public synchronized void snapshot(OutputStream output) throws IOException {
+		this.codec.snapshot(this.state, output);
 	}
 
 	@Override
-	public synchronized void restore(byte[] snapshot) {
+	public synchronized void restore(InputStream snapshot) throws IOException {
 		this.codec.restore(this.state, snapshot);
 	}
 
--- a/server/src/main/java/io/verbenatrack/server/log/ControlStateMachine.java
+++ b/server/src/main/java/io/verbenatrack/server/log/ControlStateMachine.java
@@ -1,5 +1,9 @@
 package io.verbenatrack.server.log;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+
 import io.verbenatrack.control.StateMachine;
 import io.verbenatrack.state.RecordCodec;
 import io.verbenatrack.state.claims.ClaimState;
@@ -50,14 +54,14 @@
 	}
 
 	@Override
-	public byte[] snapshot() {
-		return this.codec.encode(new Snapshot(SNAPSHOT_FORMAT, this.configuration.snapshot(), this.claims.snapshot(),
-				this.jobs.snapshot()));
+	public void snapshot(OutputStream output) throws IOException {
+		this.codec.encode(new Snapshot(SNAPSHOT_FORMAT, this.configuration.snapshot(), this.claims.snapshot(),
+				this.jobs.snapshot()), output);
 	}
 
 	@Override
-	public void restore(byte[] bytes) {
-		Snapshot snapshot = this.codec.decode(bytes, Snapshot.class);
+	public void restore(InputStream input) throws IOException {
+		Snapshot snapshot = this.codec.decode(input, Snapshot.class);
 		if (snapshot.format() != SNAPSHOT_FORMAT) {
 			throw new IllegalStateException("The snapshot has format " + snapshot.format() + ", and this version reads "
 					+ SNAPSHOT_FORMAT + ". Upgrade this instance.");
--- a/server/src/test/java/io/verbenatrack/server/log/ServerFormatTests.java
+++ b/server/src/test/java/io/verbenatrack/server/log/ServerFormatTests.java
@@ -1,5 +1,9 @@
 package io.verbenatrack.server.log;
 
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Instant;
 import java.util.List;
 import java.util.function.Function;
@@ -86,12 +90,28 @@
 		List<SchedulingDecision> decisions = List.of(SampleRecords.of(SchedulingDecision.AdmitWorker.class).getFirst(),
 				SampleRecords.of(SchedulingDecision.AcceptJob.class).getFirst());
 		sample.apply(3, CommandKind.DECISIONS.frame(this.records.encode(new DecisionBatch(1, decisions))));
-		this.golden.assertCompatible("snapshot", List.of(sample), this::restored, ControlStateMachine::snapshot);
+		this.golden.assertCompatible("snapshot", List.of(sample), this::restored, ServerFormatTests::snapshot);
+	}
+
+	private static byte[] snapshot(ControlStateMachine machine) {
+		ByteArrayOutputStream output = new ByteArrayOutputStream();
+		try {
+			machine.snapshot(output);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return output.toByteArray();
 	}
 
 	private ControlStateMachine restored(byte[] bytes) {
 		ControlStateMachine machine = machine();
-		machine.restore(bytes);
+		try {
+			machine.restore(new ByteArrayInputStream(bytes));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 		return machine;
 	}
 
--- a/state/src/main/java/io/verbenatrack/state/RecordCodec.java
+++ b/state/src/main/java/io/verbenatrack/state/RecordCodec.java
@@ -1,12 +1,15 @@
 package io.verbenatrack.state;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.util.List;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.annotation.JsonValue;
+import com.fasterxml.jackson.core.StreamWriteFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -113,7 +116,7 @@
 	/**
 	 * Decodes a record.
 	 * @param <T> the type of the record
-	 * @param bytes the bytes written by {@link #encode}
+	 * @param bytes the bytes written by {@link #encode(Object)}
 	 * @param type the type of the record
 	 * @return the record
 	 * @throws UncheckedIOException if the bytes do not encode a record of this type
@@ -127,6 +130,29 @@
 		}
 	}
 
+	/**
+	 * Encodes a record without holding all of its bytes.
+	 * @param value the record
+	 * @param output receives the encoded bytes; it is not closed
+	 * @throws IOException if the record cannot be encoded or the bytes not written
+	 */
+	public void encode(Object value, OutputStream output) throws IOException {
+		this.mapper.writer().without(StreamWriteFeature.AUTO_CLOSE_TARGET).writeValue(output, value);
+	}
+
+	/**
+	 * Decodes a record without holding all of its bytes.
+	 * @param <T> the type of the record
+	 * @param input the bytes written by {@link #encode(Object, OutputStream)}
+	 * @param type the type of the record
+	 * @return the record
+	 * @throws IOException if the bytes cannot be read or do not encode a record of this
+	 * type
+	 */
+	public <T> T decode(InputStream input, Class<T> type) throws IOException {
+		return this.mapper.readValue(input, type);
+	}
+
 	/**
 	 * Returns the object mapper of this codec.
 	 * @return the mapper, which must not be reconfigured
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -131,6 +131,11 @@
 			"A replica was not admitted, because as many replicas answer as there may be.",
 			"Stop a control instance that is not needed."),
 
+	/** A snapshot of the state replaced older entries of the control log. */
+	LOG_COMPACTED(2012, System.Logger.Level.INFO,
+			"A snapshot of the state was stored, and the entries that it covers were removed from the control log.",
+			"Nothing to do."),
+
 	/** A gang on borrowed accelerators is stopped to free them. */
 	GANG_RECLAIMED(3001, System.Logger.Level.INFO,
 			"A gang on borrowed accelerators is checkpointed and stopped to free them.",
