Bound in bytes what a replica receives before it can store it

Change: the queue holds 8 MB, or one larger message. A replica drops a chunk while it writes one. A leader sends heartbeats only to a replica that does not answer, as it does with entries, and goes on with the chunk once it answers.

--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedCluster.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedCluster.java
@@ -57,8 +57,8 @@
 		LogLimits log = new LogLimits(entriesBetweenSnapshots, LOG_BYTES, Math.max(1, entriesBetweenSnapshots / 4),
 				LOG_BYTES / 4);
 		this.limits = new ReplicaLimits(defaults.commandBytes(), defaults.messageBytes(),
-				defaults.unacknowledgedEntries(), defaults.pendingEvents(), log, CHUNK_BYTES,
-				defaults.maximumReplicas());
+				defaults.unacknowledgedEntries(), defaults.pendingEvents(), defaults.pendingMessageBytes(), log,
+				CHUNK_BYTES, defaults.maximumReplicas());
 		List<ReplicaPeer> peers = new ArrayList<>();
 		for (int i = 0; i < size; i++) {
 			peers.add(new ReplicaPeer(new InstanceId("r" + i), "127.0.0.1", FIRST_PORT + i));
--- a/control/src/main/java/io/verbenatrack/control/ReplicaLimits.java
+++ b/control/src/main/java/io/verbenatrack/control/ReplicaLimits.java
@@ -8,17 +8,19 @@
  * @param unacknowledgedEntries the maximum number of unacknowledged entries in flight to
  * one follower
  * @param pendingEvents the capacity of the event queue of the protocol thread
+ * @param pendingMessageBytes the maximum total size of the messages in that queue, in
+ * bytes
  * @param log when the log is compacted, and what it retains then
  * @param chunkBytes the size of the chunks in which a snapshot is transferred, in bytes
  * @param maximumReplicas the maximum number of instances with a voter or learner that
  * answers the leader
  */
 public record ReplicaLimits(int commandBytes, int messageBytes, int unacknowledgedEntries, int pendingEvents,
-		LogLimits log, int chunkBytes, int maximumReplicas) {
+		long pendingMessageBytes, LogLimits log, int chunkBytes, int maximumReplicas) {
 
 	/** Defaults for instances with 64 MB of memory. */
-	public static final ReplicaLimits DEFAULT = new ReplicaLimits(1 << 21, 1 << 18, 4096, 4096, LogLimits.DEFAULT,
-			1 << 18, 7);
+	public static final ReplicaLimits DEFAULT = new ReplicaLimits(1 << 21, 1 << 18, 4096, 4096, 1 << 23,
+			LogLimits.DEFAULT, 1 << 18, 7);
 
 	/**
 	 * Returns these limits with different limits on the log.
@@ -27,7 +29,7 @@
 	 */
 	public ReplicaLimits withLog(LogLimits changed) {
 		return new ReplicaLimits(this.commandBytes, this.messageBytes, this.unacknowledgedEntries, this.pendingEvents,
-				changed, this.chunkBytes, this.maximumReplicas);
+				this.pendingMessageBytes, changed, this.chunkBytes, this.maximumReplicas);
 	}
 
 }
--- a/control/src/main/java/io/verbenatrack/control/driver/ProtocolDuty.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/ProtocolDuty.java
@@ -93,7 +93,7 @@
 	@Override
 	public long runOnce() {
 		this.queues.completions().drain(this.batch::add, this.eventsPerBatch);
-		this.queues.inbox().drain(this.batch::add, this.eventsPerBatch);
+		this.queues.drainInbox(this.batch::add, this.eventsPerBatch);
 		ClockReading now = this.clock.read();
 		int handled = this.batch.size();
 		for (ProtocolTask task : this.batch) {
--- a/control/src/main/java/io/verbenatrack/control/driver/Replica.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/Replica.java
@@ -65,7 +65,7 @@
 			ReplicaListener listener, LeaseClock clock, Closer closer) throws IOException {
 		this.closer = closer;
 		this.clock = clock;
-		this.queues = new ReplicaQueues(settings.limits().pendingEvents());
+		this.queues = new ReplicaQueues(settings.limits());
 		ReplicaIdentity identity = this.closer
 			.register(ReplicaIdentity.open(settings.dataFolder(), settings.self().instance()));
 		this.self = identity.replica();
--- a/control/src/main/java/io/verbenatrack/control/driver/ReplicaQueues.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/ReplicaQueues.java
@@ -1,8 +1,14 @@
 package io.verbenatrack.control.driver;
 
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
 import org.jctools.queues.atomic.MpscAtomicArrayQueue;
 import org.jctools.queues.atomic.SpscAtomicArrayQueue;
 
+import io.verbenatrack.control.ReplicaLimits;
+import io.verbenatrack.control.replica.ReplicaEvent;
+
 /**
  * The bounded queues between the threads of a replica.
  *
@@ -18,6 +24,11 @@
 
 	private final MpscAtomicArrayQueue<ProtocolTask> inbox;
 
+	private final long maximumInboxBytes;
+
+	/** The size of the messages and commands in the inbox, in bytes. */
+	private final AtomicLong inboxBytes = new AtomicLong();
+
 	/** Large enough for the results of all tasks in the disk and apply queues. */
 	private final MpscAtomicArrayQueue<ProtocolTask> completions = new MpscAtomicArrayQueue<>(
 			2 * (DISK_QUEUE_CAPACITY + APPLY_QUEUE_CAPACITY));
@@ -35,8 +46,9 @@
 	private volatile Runnable applyWaker = () -> {
 	};
 
-	ReplicaQueues(int pendingEvents) {
-		this.inbox = new MpscAtomicArrayQueue<>(pendingEvents);
+	ReplicaQueues(ReplicaLimits limits) {
+		this.inbox = new MpscAtomicArrayQueue<>(limits.pendingEvents());
+		this.maximumInboxBytes = limits.pendingMessageBytes();
 	}
 
 	void setWakers(Runnable protocol, Runnable diskThread, Runnable applyThread) {
@@ -45,8 +57,16 @@
 		this.applyWaker = applyThread;
 	}
 
-	MpscAtomicArrayQueue<ProtocolTask> inbox() {
-		return this.inbox;
+	/**
+	 * Removes tasks that came from outside the replica's threads.
+	 * @param receiver receives each task
+	 * @param maximumTasks the maximum number of tasks to remove
+	 */
+	void drainInbox(Consumer<ProtocolTask> receiver, int maximumTasks) {
+		this.inbox.drain((task) -> {
+			this.inboxBytes.addAndGet(-payloadBytes(task));
+			receiver.accept(task);
+		}, maximumTasks);
 	}
 
 	MpscAtomicArrayQueue<ProtocolTask> completions() {
@@ -62,14 +82,30 @@
 	}
 
 	/**
-	 * Adds a task from outside the replica's threads.
+	 * Adds a task from outside the replica's threads. A queue without other messages has
+	 * room for a message of any size.
 	 * @param task the task to add
 	 * @return whether the queue had room
 	 */
 	boolean post(ProtocolTask task) {
-		boolean room = this.inbox.offer(task);
+		long payloadBytes = payloadBytes(task);
+		long queuedBytes = this.inboxBytes.addAndGet(payloadBytes);
+		boolean fits = queuedBytes <= this.maximumInboxBytes || queuedBytes == payloadBytes;
+		boolean added = fits && this.inbox.offer(task);
+		if (!added) {
+			this.inboxBytes.addAndGet(-payloadBytes);
+		}
 		this.protocolWaker.run();
-		return room;
+		return added;
+	}
+
+	private static long payloadBytes(ProtocolTask task) {
+		return switch (task) {
+			case ProtocolTask.Handle(ReplicaEvent.Received received) -> received.message().getSerializedSize();
+			case ProtocolTask.Handle(ReplicaEvent.Proposed proposed) -> proposed.command().size();
+			case ProtocolTask.Handle other -> 0;
+			case ProtocolTask.Reopened reopened -> 0;
+		};
 	}
 
 	/**
--- a/control/src/main/java/io/verbenatrack/control/replica/FollowerReplication.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/FollowerReplication.java
@@ -24,6 +24,9 @@
 
 	private long chunkSentNanos;
 
+	/** A leader repeats a chunk, which must not pile up while the disk hangs. */
+	private boolean writingChunk;
+
 	FollowerReplication(ReplicaState state) {
 		this.state = state;
 	}
@@ -107,12 +110,17 @@
 			reply(leader, header, chunk.getSentNanos(), 0, true);
 			return;
 		}
+		if (this.writingChunk) {
+			return;
+		}
+		this.writingChunk = true;
 		this.chunkSender = Optional.of(leader);
 		this.chunkSentNanos = chunk.getSentNanos();
 		this.state.effects.add(new ReplicaEffect.WriteChunk(header, chunk.getOffset(), chunk.getData()));
 	}
 
 	void handleChunkWritten(SnapshotHeader header, long nextOffset, boolean complete) {
+		this.writingChunk = false;
 		if (complete && header.getIndex() > this.state.commitIndex) {
 			installSnapshot(header);
 		}
--- a/control/src/main/java/io/verbenatrack/control/replica/LeaderReplication.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/LeaderReplication.java
@@ -97,9 +97,14 @@
 	}
 
 	private void sendAppend(FollowerProgress follower, List<LogEntry> entries) {
+		long previousIndex = follower.nextIndex - 1;
+		sendAppend(follower, previousIndex, this.state.log.termAt(previousIndex), entries);
+	}
+
+	private void sendAppend(FollowerProgress follower, long previousIndex, long previousTerm, List<LogEntry> entries) {
 		AppendRequest request = AppendRequest.newBuilder()
-			.setPreviousIndex(follower.nextIndex - 1)
-			.setPreviousTerm(this.state.log.termAt(follower.nextIndex - 1))
+			.setPreviousIndex(previousIndex)
+			.setPreviousTerm(previousTerm)
 			.addAllEntries(entries)
 			.setCommitIndex(this.state.commitIndex)
 			.setSentNanos(this.state.nowNanos)
@@ -112,6 +117,10 @@
 		if (follower.awaitingReply && !heartbeatDue(follower)) {
 			return;
 		}
+		if (follower.awaitingReply && !this.leadership.answeredRecently(follower)) {
+			sendAppend(follower, follower.snapshot.getIndex(), follower.snapshot.getTerm(), List.of());
+			return;
+		}
 		String name = ReplicaId.of(follower.member).text();
 		this.state.effects.add(new ReplicaEffect.ReadChunk(name, follower.snapshot, follower.snapshotOffset));
 		follower.lastSendNanos = this.state.nowNanos;
