End each rule that keeps a step from a worker, and plan by the same rules

Cause: a task was kept from the worker where its last run failed until its next start, so a gang that needs that worker had none. Reservations did not know the rule and kept all idle workers for the gang in each pass, until its result counted as missed. Of the same class: reservations that wait for tasks which last, or for overdue runs; racks that never become empty; a wait for the rack of the data as long as the task would run; runs stopped for a task that must not start there; a late sign-off that marks the next incarnation of a worker; suspicions that later failures extend.

A task avoids a worker for 2 s of waiting and prefers others after that. On a fleet that is mostly idle a reservation ends 2 s after the gang was expected to start, and a gang may be spread over racks after 10 s. Tasks that last are not waited for. FLEET_JOB_WAITS tells how many workers are eligible and how many of these are not reserved.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/CandidateWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/CandidateWorker.java
@@ -89,10 +89,16 @@
 	 * @param lostWorkMillis the work that stopping the task would discard, in
 	 * milliseconds of run time weighted by its resources
 	 * @param remainingMillis the remaining run time in milliseconds, by the caller's
-	 * estimate
+	 * estimate; {@link #NEVER_ENDS} for a task that lasts
 	 */
 	record RunningTask(TaskId task, Resources room, int priority, double lostWorkMillis, long remainingMillis) {
 
+		static final long NEVER_ENDS = Long.MAX_VALUE;
+
+		boolean ends() {
+			return this.remainingMillis != NEVER_ENDS;
+		}
+
 	}
 
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
@@ -72,15 +72,20 @@
 	}
 
 	/**
-	 * A job waits because no workers have enough free resources for it.
+	 * A job waits because no eligible workers have enough free resources for it.
 	 *
 	 * @param job the job
 	 * @param step the index of the waiting step
 	 * @param tasks the number of waiting tasks
 	 * @param accelerators the number of accelerators that each task requires
 	 * @param outlook the name of the expected completion outcome
+	 * @param workers the number of workers of its service that may get tasks
+	 * @param eligible how many of them the step may use, by its label, its rack, its
+	 * limit for one worker and where its tasks failed or stalled
+	 * @param unreserved how many of these are not reserved for others
 	 */
-	record JobWaits(JobId job, int step, int tasks, int accelerators, String outlook) implements FleetEvent {
+	record JobWaits(JobId job, int step, int tasks, int accelerators, String outlook, int workers, int eligible,
+			int unreserved) implements FleetEvent {
 
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -57,6 +57,8 @@
 
 	private final StalledRunMover runMover;
 
+	private final PlacementHistory placementHistory;
+
 	/**
 	 * Starts that no response has carried yet, so that their workers do not know of them.
 	 */
@@ -85,6 +87,7 @@
 		this.term = term;
 		this.registry = new WorkerRegistry(now.nanos(), timings.maxLeaseNanos());
 		this.runMover = new StalledRunMover(state, this.registry);
+		this.placementHistory = new PlacementHistory(this.runMover);
 		this.earlierReportsEndNanos = now.nanos() + timings.maxLeaseNanos();
 		state.incarnationsInUse().forEach((incarnation) -> this.inheritedRuns.putAll(state.runsOn(incarnation)));
 	}
@@ -206,12 +209,13 @@
 		long nowNanos = now.nanos();
 		this.runMover.removeStale(nowNanos);
 		this.unsentStarts.entrySet().removeIf((start) -> !this.state.isRunning(start.getKey(), start.getValue()));
-		PlacementPass pass = new PlacementPass(this.state, this.registry, this.timings, this.runMover, this.preempted,
-				nowNanos, nowMillis);
+		PlacementPass pass = new PlacementPass(this.state, this.registry, this.timings, this.placementHistory,
+				this.preempted, this.waitingJobs, nowNanos, nowMillis);
 		pass.run();
 		pass.starts().forEach((start) -> this.unsentStarts.put(start.task(), start.run()));
 		recordPreemptions(withWholeGangs(pass.preempted()));
-		recordWaitingJobs(pass.waiting());
+		this.waitingJobs = pass.waitingJobs();
+		this.events.addAll(pass.waitEvents());
 		return List.copyOf(pass.starts());
 	}
 
@@ -226,16 +230,6 @@
 		this.preempted = tasks;
 	}
 
-	private void recordWaitingJobs(List<FleetEvent.JobWaits> waiting) {
-		Set<JobId> jobs = new HashSet<>();
-		for (FleetEvent.JobWaits event : waiting) {
-			if (jobs.add(event.job()) && !this.waitingJobs.contains(event.job())) {
-				this.events.add(event);
-			}
-		}
-		this.waitingJobs = jobs;
-	}
-
 	/**
 	 * Returns and clears the events since the last call.
 	 * @return the events
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
@@ -25,6 +25,12 @@
 
 	private final long nowMillis;
 
+	/**
+	 * Creates a placer.
+	 * @param candidates the workers that are eligible for the gang
+	 * @param reservations the reservations of other gangs
+	 * @param nowMillis the time in milliseconds since the epoch
+	 */
 	GangPlacer(Collection<CandidateWorker> candidates, Reservations reservations, long nowMillis) {
 		this.candidates = candidates;
 		this.reservations = reservations;
@@ -32,7 +38,7 @@
 	}
 
 	Optional<Map<Integer, CandidateWorker>> place(PendingStep step, boolean allowSpread) {
-		List<CandidateWorker> eligible = eligible(step);
+		List<CandidateWorker> eligible = unreserved(step);
 		if (!step.spec().rackSensitive()) {
 			return pack(step, eligible);
 		}
@@ -59,15 +65,10 @@
 		return slots >= step.waiting().size();
 	}
 
-	private List<CandidateWorker> eligible(PendingStep step) {
+	private List<CandidateWorker> unreserved(PendingStep step) {
 		return this.candidates.stream()
-			.filter((candidate) -> candidate.matches(step.spec()))
 			.filter((candidate) -> !candidate.reserved() || step.queue().priority() == 0)
 			.filter((candidate) -> this.reservations.allows(candidate, step, this.nowMillis))
-			.filter((candidate) -> step.waiting()
-				.stream()
-				.noneMatch(
-						(index) -> step.failedOn(index).filter(candidate.worker().incarnation()::equals).isPresent()))
 			.toList();
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,6 +21,7 @@
 import io.verbenatrack.fleet.state.JobState;
 import io.verbenatrack.fleet.state.StepState;
 import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.ServiceId;
 
 /**
@@ -31,6 +33,12 @@
 	/** A gang of priority 0 that has waited longer may be spread over racks. */
 	private static final long SPREAD_AFTER_MILLIS = 3500;
 
+	/**
+	 * Any gang may be spread over racks when it has waited this long while the service
+	 * was mostly idle.
+	 */
+	private static final long IDLE_SPREAD_AFTER_NANOS = Duration.ofSeconds(10).toNanos();
+
 	/**
 	 * Without a guarantee, preemption may discard at most this share of the step's work.
 	 */
@@ -38,33 +46,46 @@
 
 	private final FleetState state;
 
-	private final Reservations reservations = new Reservations();
+	private final Reservations reservations;
+
+	private final Eligibility eligibility;
 
 	private final Map<String, Integer> rackSizes = new HashMap<>();
 
 	private final FleetTimings timings;
 
-	private final StalledRunMover runMover;
+	private final PlacementHistory history;
 
 	private final Set<TaskId> stopping;
 
+	private final Set<JobId> waitingBefore;
+
 	private final long nowNanos;
 
 	private final long nowMillis;
 
 	private final Map<ServiceId, List<CandidateWorker>> candidatesByService = new LinkedHashMap<>();
 
+	private final Map<ServiceId, ServiceUse> useByService = new HashMap<>();
+
+	private final Set<TaskId> waitingGangs = new HashSet<>();
+
 	private final List<FleetCommand.StartRun> starts = new ArrayList<>();
 
-	private final List<FleetEvent.JobWaits> waiting = new ArrayList<>();
+	private final Set<JobId> waitingNow = new HashSet<>();
+
+	private final Map<JobId, FleetEvent.JobWaits> waiting = new LinkedHashMap<>();
 
 	private final Set<TaskId> preempted = new LinkedHashSet<>();
 
 	private final Map<AccountId, Long> guaranteedUse = new HashMap<>();
 
-	PlacementPass(FleetState state, WorkerRegistry registry, FleetTimings timings, StalledRunMover runMover,
-			Set<TaskId> stopping, long nowNanos, long nowMillis) {
-		this.runMover = runMover;
+	PlacementPass(FleetState state, WorkerRegistry registry, FleetTimings timings, PlacementHistory history,
+			Set<TaskId> stopping, Set<JobId> waitingBefore, long nowNanos, long nowMillis) {
+		this.history = history;
+		this.waitingBefore = waitingBefore;
+		this.reservations = new Reservations(history.reservationHolds());
+		this.eligibility = new Eligibility(history.runMover(), history.waitTimers(), nowNanos, nowMillis);
 		this.stopping = stopping;
 		this.state = state;
 		this.timings = timings;
@@ -78,6 +99,7 @@
 				this.rackSizes.merge(worker.report().rack(), 1, Integer::sum);
 			}
 		}
+		this.candidatesByService.forEach((service, found) -> this.useByService.put(service, ServiceUse.of(found)));
 	}
 
 	private CandidateWorker candidate(TrackedWorker worker) {
@@ -103,9 +125,10 @@
 		JobState job = this.state.job(task.job()).orElseThrow();
 		int priority = this.state.queueOf(job).map((queue) -> queue.priority()).orElse(0);
 		StepSpec spec = step.get().spec();
-		boolean stops = this.stopping.contains(task) || this.runMover.isMoving(task);
+		boolean stops = this.stopping.contains(task) || this.history.runMover().isMoving(task);
 		double done = spec.estimatedMillis() * candidate.worker().percent(task) / 100.0;
-		long remaining = (long) Math.max(0, spec.estimatedMillis() - done);
+		long remaining = spec.lasting() ? CandidateWorker.RunningTask.NEVER_ENDS
+				: (long) Math.max(0, spec.estimatedMillis() - done);
 		int affectedTasks = spec.gang() ? spec.count() : 1;
 		// Tasks that already stop cost nothing, so that the preemption plan stays stable.
 		double lostWork = stops ? 0 : spec.checkpoints() ? 1 : 1 + done * affectedTasks * PendingStep.weight(spec);
@@ -114,7 +137,10 @@
 
 	void run() {
 		countGuaranteedUse();
+		this.history.waitTimers().beginPass();
+		this.history.idleWaitTimers().beginPass();
 		for (PendingStep step : PendingStepOrder.sorted(this.state, this::guaranteed, this.nowMillis)) {
+			this.eligibility.recordWaiting(step);
 			List<CandidateWorker> candidates = this.candidatesByService.getOrDefault(step.queue().service(), List.of());
 			if (step.spec().gang()) {
 				placeGang(step, candidates);
@@ -123,6 +149,9 @@
 				placeTasks(step, candidates);
 			}
 		}
+		this.history.waitTimers().endPass();
+		this.history.idleWaitTimers().endPass();
+		this.history.reservationHolds().retain(this.waitingGangs);
 	}
 
 	private void countGuaranteedUse() {
@@ -154,24 +183,40 @@
 	}
 
 	private void placeGang(PendingStep step, Collection<CandidateWorker> candidates) {
-		boolean allowSpread = step.queue().priority() == 0 && waitedMillis(step) > SPREAD_AFTER_MILLIS;
-		List<CandidateWorker> allowed = candidates.stream()
-			.filter((candidate) -> !avoided(step, 0, candidate))
-			.toList();
-		Optional<Map<Integer, CandidateWorker>> found = new GangPlacer(allowed, this.reservations, this.nowMillis)
-			.place(step, allowSpread);
+		ServiceUse use = this.useByService.getOrDefault(step.queue().service(), ServiceUse.NONE);
+		if (use.mostlyIdle()) {
+			this.history.idleWaitTimers().recordWaiting(step.task(0), this.nowNanos);
+		}
+		List<CandidateWorker> eligible = this.eligibility.forGang(step, candidates);
+		List<CandidateWorker> preferred = this.eligibility.preferred(step, eligible);
+		Optional<Map<Integer, CandidateWorker>> found = findPlaces(step, preferred);
+		if (found.isEmpty() && preferred.size() < eligible.size()) {
+			found = findPlaces(step, eligible);
+		}
 		if (found.isPresent()) {
 			int run = step.step().nextGangRun();
 			found.get().forEach((index, candidate) -> start(step, index, run, candidate));
 		}
 		else {
-			recordWaiting(step);
+			this.waitingGangs.add(step.task(0));
+			recordWaiting(step, candidates);
 			if (!preempt(step, candidates)) {
-				this.reservations.reserve(step, candidates, this.nowMillis);
+				this.reservations.reserve(step, eligible, use, this.nowNanos, this.nowMillis);
 			}
 		}
 	}
 
+	private Optional<Map<Integer, CandidateWorker>> findPlaces(PendingStep step, List<CandidateWorker> eligible) {
+		return new GangPlacer(eligible, this.reservations, this.nowMillis).place(step, mayBeSpread(step));
+	}
+
+	private boolean mayBeSpread(PendingStep step) {
+		if (step.queue().priority() == 0 && waitedMillis(step) > SPREAD_AFTER_MILLIS) {
+			return true;
+		}
+		return this.history.idleWaitTimers().waitedNanos(step.task(0), this.nowNanos) > IDLE_SPREAD_AFTER_NANOS;
+	}
+
 	private void placeTasks(PendingStep step, Collection<CandidateWorker> candidates) {
 		Map<CandidateWorker, Integer> used = new HashMap<>();
 		boolean allPlaced = true;
@@ -183,7 +228,7 @@
 			}
 			else {
 				allPlaced = false;
-				if (step.failedOn(index).isEmpty() && !this.runMover.avoidsAny(step.task(index), false)) {
+				if (!this.eligibility.avoidsAny(step, index)) {
 					// Tasks of a step are alike: without a worker for this one, none fits
 					// the rest.
 					break;
@@ -191,7 +236,7 @@
 			}
 		}
 		if (!allPlaced) {
-			recordWaiting(step);
+			recordWaiting(step, candidates);
 			preempt(step, candidates);
 		}
 	}
@@ -199,40 +244,20 @@
 	private Optional<CandidateWorker> chooseWorker(PendingStep step, int index, Collection<CandidateWorker> candidates,
 			Map<CandidateWorker, Integer> used) {
 		StepSpec spec = step.spec();
-		boolean requireDataRack = waitedMillis(step) < spec.estimatedMillis();
 		return candidates.stream()
-			.filter((candidate) -> candidate.matches(spec) && spec.room().fitsIn(candidate.free()))
+			.filter((candidate) -> spec.room().fitsIn(candidate.free()))
 			.filter((candidate) -> !candidate.reserved() || step.queue().priority() == 0)
 			.filter((candidate) -> this.reservations.allows(candidate, step, this.nowMillis))
-			.filter((candidate) -> step.failedOn(index).filter(candidate.worker().incarnation()::equals).isEmpty())
-			.filter((candidate) -> !avoided(step, index, candidate))
-			.filter((candidate) -> spec.mostOnOneWorker() == 0
-					|| tasksOnWorker(step, candidate) + used.getOrDefault(candidate, 0) < spec.mostOnOneWorker())
-			.filter((candidate) -> !requireDataRack || onDataRack(spec, candidate))
-			.min(Comparator.comparing((CandidateWorker candidate) -> !onDataRack(spec, candidate))
+			.filter((candidate) -> this.eligibility.mayStart(step, index, candidate))
+			.filter((candidate) -> used.getOrDefault(candidate, 0) < Eligibility.placesLeft(step, candidate))
+			.min(Comparator.comparing((CandidateWorker candidate) -> this.eligibility.avoids(step, index, candidate))
+				.thenComparing((candidate) -> !Eligibility.onDataRack(spec, candidate))
 				.thenComparing(CandidateWorker::idle)
 				.thenComparingInt((candidate) -> this.rackSizes.get(candidate.rack()))
 				.thenComparingInt((candidate) -> candidate.free().accelerators())
 				.thenComparingLong((candidate) -> candidate.free().cpuMillis()));
 	}
 
-	private boolean avoided(PendingStep step, int index, CandidateWorker candidate) {
-		return this.runMover.avoids(step.task(index), step.spec().gang(), candidate.worker().incarnation(),
-				this.nowNanos);
-	}
-
-	private static boolean onDataRack(StepSpec spec, CandidateWorker candidate) {
-		return spec.dataRack().isEmpty() || spec.dataRack().get().equals(candidate.rack());
-	}
-
-	private static int tasksOnWorker(PendingStep step, CandidateWorker candidate) {
-		return (int) step.step()
-			.tasks()
-			.stream()
-			.filter((task) -> task.runningOn().filter(candidate.worker().incarnation()::equals).isPresent())
-			.count();
-	}
-
 	private void start(PendingStep step, int index, int run, CandidateWorker candidate) {
 		Resources room = step.spec().room();
 		candidate.allocate(room);
@@ -246,7 +271,8 @@
 		if ((!isGuaranteed && !urgent) || waitedMillis(step) < this.timings.preemptionDelay().toMillis()) {
 			return false;
 		}
-		Optional<PreemptionPlanner.Plan> plan = new PreemptionPlanner(candidates).plan(step)
+		List<CandidateWorker> eligible = this.eligibility.forStep(step, candidates);
+		Optional<PreemptionPlanner.Plan> plan = new PreemptionPlanner(eligible).plan(step)
 			.filter((found) -> isGuaranteed || found.loss() <= step.work() * MAX_LOSS_SHARE);
 		plan.ifPresent((found) -> {
 			this.preempted.addAll(found.stops());
@@ -259,13 +285,35 @@
 		return this.starts;
 	}
 
-	List<FleetEvent.JobWaits> waiting() {
-		return this.waiting;
+	/**
+	 * Returns the jobs with a step that waits for room.
+	 * @return the jobs
+	 */
+	Set<JobId> waitingJobs() {
+		return this.waitingNow;
+	}
+
+	/**
+	 * Returns the events of the jobs that did not wait in the previous pass.
+	 * @return an event for each of these jobs
+	 */
+	Collection<FleetEvent.JobWaits> waitEvents() {
+		return this.waiting.values();
 	}
 
-	private void recordWaiting(PendingStep step) {
-		this.waiting.add(new FleetEvent.JobWaits(step.job().job(), step.number(), step.waiting().size(),
-				step.spec().room().accelerators(), CompletionOutlook.of(step, this.nowMillis).name()));
+	private void recordWaiting(PendingStep step, Collection<CandidateWorker> candidates) {
+		this.waitingNow.add(step.job().job());
+		if (this.waitingBefore.contains(step.job().job())) {
+			return;
+		}
+		List<CandidateWorker> eligible = this.eligibility.forStep(step, candidates);
+		long unreserved = eligible.stream()
+			.filter((candidate) -> this.reservations.allows(candidate, step, this.nowMillis))
+			.count();
+		this.waiting.putIfAbsent(step.job().job(),
+				new FleetEvent.JobWaits(step.job().job(), step.number(), step.waiting().size(),
+						step.spec().room().accelerators(), CompletionOutlook.of(step, this.nowMillis).name(),
+						candidates.size(), eligible.size(), (int) unreserved));
 	}
 
 	Set<TaskId> preempted() {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PreemptionPlanner.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PreemptionPlanner.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 
 import io.verbenatrack.fleet.model.Resources;
-import io.verbenatrack.fleet.model.StepSpec;
 import io.verbenatrack.fleet.model.TaskId;
 
 /**
@@ -18,6 +17,10 @@
 
 	private final Collection<CandidateWorker> candidates;
 
+	/**
+	 * Creates a planner.
+	 * @param candidates the workers that are eligible for the step
+	 */
 	PreemptionPlanner(Collection<CandidateWorker> candidates) {
 		this.candidates = candidates;
 	}
@@ -28,9 +31,7 @@
 	 * @return the plan, or empty when preemption cannot free enough resources
 	 */
 	Optional<Plan> plan(PendingStep step) {
-		List<CandidateWorker> suitable = this.candidates.stream()
-			.filter((candidate) -> candidate.matches(step.spec()) && !candidate.reserved())
-			.toList();
+		List<CandidateWorker> suitable = this.candidates.stream().filter((candidate) -> !candidate.reserved()).toList();
 		if (step.spec().gang() && step.spec().rackSensitive()) {
 			Optional<Plan> best = CandidateWorker.byRack(suitable)
 				.stream()
@@ -46,7 +47,7 @@
 
 	private static Optional<Plan> planOn(PendingStep step, List<CandidateWorker> candidates) {
 		List<Option> options = new ArrayList<>();
-		candidates.forEach((candidate) -> options.addAll(options(candidate, step.spec())));
+		candidates.forEach((candidate) -> options.addAll(options(candidate, step)));
 		options.sort(Comparator.comparingDouble(Option::lossPerTask));
 		int tasksLeft = step.waiting().size();
 		double loss = 0;
@@ -65,12 +66,12 @@
 
 	// Lists what a worker can provide without preemption, and after the preemption of an
 	// increasing number of its cheapest tasks.
-	private static List<Option> options(CandidateWorker candidate, StepSpec step) {
+	private static List<Option> options(CandidateWorker candidate, PendingStep step) {
 		List<Option> options = new ArrayList<>();
 		Resources available = candidate.free();
 		double loss = 0;
 		List<TaskId> stops = new ArrayList<>();
-		int fittingTasks = step.maxTasksIn(available);
+		int fittingTasks = fittingTasks(step, candidate, available);
 		if (fittingTasks > 0) {
 			options.add(new Option(candidate, fittingTasks, 0, List.of()));
 		}
@@ -83,7 +84,7 @@
 			available = available.plus(running.room());
 			loss += running.lostWorkMillis();
 			stops.add(running.task());
-			int more = step.maxTasksIn(available);
+			int more = fittingTasks(step, candidate, available);
 			if (more > fittingTasks) {
 				fittingTasks = more;
 				options.add(new Option(candidate, fittingTasks, loss, List.copyOf(stops)));
@@ -92,6 +93,10 @@
 		return options;
 	}
 
+	private static int fittingTasks(PendingStep step, CandidateWorker candidate, Resources available) {
+		return Math.min(step.spec().maxTasksIn(available), Eligibility.placesLeft(step, candidate));
+	}
+
 	private record Option(CandidateWorker candidate, int fittingTasks, double loss, List<TaskId> stops) {
 
 		double lossPerTask() {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
@@ -1,5 +1,6 @@
 package io.verbenatrack.fleet.policy;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -25,31 +26,43 @@
 
 	private final Map<CandidateWorker, Long> freeAtMillis = new HashMap<>();
 
+	private final ReservationHolds holds;
+
 	private int reservationCount;
 
+	Reservations(ReservationHolds holds) {
+		this.holds = holds;
+	}
+
 	/**
-	 * Reserves workers for a gang if its result can still have value when it ends and the
-	 * limit of reservations is not reached.
+	 * Reserves workers for a gang if its result can still have value when it ends, the
+	 * limit of reservations is not reached, and the gang has not kept workers idle for
+	 * too long.
 	 * @param step the gang
-	 * @param candidates the workers of its service
+	 * @param eligible the workers on which it may start
+	 * @param service the use of its service
+	 * @param nowNanos the time in nanoseconds of the monotonic clock
 	 * @param nowMillis the time in milliseconds since the epoch
 	 */
-	void reserve(PendingStep step, Collection<CandidateWorker> candidates, long nowMillis) {
-		int maxReservations = Math.max(MIN_RESERVATIONS, candidates.size() / WORKERS_PER_RESERVATION);
+	void reserve(PendingStep step, Collection<CandidateWorker> eligible, ServiceUse service, long nowNanos,
+			long nowMillis) {
+		int maxReservations = Math.max(MIN_RESERVATIONS, service.workers() / WORKERS_PER_RESERVATION);
 		if (this.reservationCount >= maxReservations
 				|| CompletionOutlook.of(step, nowMillis) == CompletionOutlook.MISSED) {
 			return;
 		}
-		Optional<Window> first = firstWindow(step, candidates, nowMillis);
-		first.ifPresent((window) -> {
+		firstWindow(step, eligible, nowMillis).filter((window) -> {
+			long expectedWaitNanos = Duration.ofMillis(window.startMillis() - nowMillis).toNanos();
+			return this.holds.mayReserve(step.task(0), expectedWaitNanos, service.mostlyIdle(), nowNanos);
+		}).ifPresent((window) -> {
 			this.reservationCount++;
 			window.workers().forEach((candidate) -> this.freeAtMillis.put(candidate, window.startMillis()));
 		});
 	}
 
-	private Optional<Window> firstWindow(PendingStep step, Collection<CandidateWorker> candidates, long nowMillis) {
-		List<CandidateWorker> suitable = candidates.stream()
-			.filter((candidate) -> candidate.matches(step.spec()) && !this.freeAtMillis.containsKey(candidate))
+	private Optional<Window> firstWindow(PendingStep step, Collection<CandidateWorker> eligible, long nowMillis) {
+		List<CandidateWorker> suitable = eligible.stream()
+			.filter((candidate) -> !this.freeAtMillis.containsKey(candidate))
 			.toList();
 		Collection<List<CandidateWorker>> groups = step.spec().rackSensitive() ? CandidateWorker.byRack(suitable)
 				: List.of(suitable);
@@ -81,8 +94,11 @@
 	private static Optional<Availability> firstAvailable(Resources need, CandidateWorker candidate, long nowMillis) {
 		Resources free = candidate.free();
 		long at = nowMillis;
-		List<CandidateWorker.RunningTask> byEnd = new ArrayList<>(candidate.runningTasks());
-		byEnd.sort(Comparator.comparingLong(CandidateWorker.RunningTask::remainingMillis));
+		List<CandidateWorker.RunningTask> byEnd = candidate.runningTasks()
+			.stream()
+			.filter(CandidateWorker.RunningTask::ends)
+			.sorted(Comparator.comparingLong(CandidateWorker.RunningTask::remainingMillis))
+			.toList();
 		int next = 0;
 		while (need.maxCopiesIn(free) == 0 && next < byEnd.size()) {
 			CandidateWorker.RunningTask running = byEnd.get(next++);
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
@@ -60,6 +60,8 @@
 
 	private void accept(WorkerReport newer, long nowNanos) {
 		this.displaced = false;
+		// A sign-off that arrives late is one of the previous incarnation.
+		this.left = this.left && newer.draining();
 		this.report = newer;
 		this.lastReportNanos = nowNanos;
 		this.running.clear();
@@ -160,9 +162,10 @@
 		if (how == RunOutcome.DONE) {
 			this.failedJobs.clear();
 		}
-		else if (how == RunOutcome.FAILED) {
+		else if (how == RunOutcome.FAILED && !suspected(nowNanos)) {
 			this.failedJobs.add(job);
 			if (this.failedJobs.size() >= FAILED_JOBS_TO_SUSPECT) {
+				this.failedJobs.clear();
 				suspect(nowNanos);
 				return true;
 			}
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
@@ -66,7 +66,9 @@
 					new Field("percent", moved.percent()), termField);
 			case FleetEvent.JobWaits waits -> events.write(LogEvent.FLEET_JOB_WAITS, new Field("job", waits.job()),
 					new Field("step", waits.step()), new Field("tasks", waits.tasks()),
-					new Field("accelerators", waits.accelerators()), new Field("outlook", waits.outlook()), termField);
+					new Field("accelerators", waits.accelerators()), new Field("outlook", waits.outlook()),
+					new Field("workers", waits.workers()), new Field("eligible", waits.eligible()),
+					new Field("unreserved", waits.unreserved()), termField);
 		}
 	}
 
