Start the replicas of GrpcReplicaTests on ports that no connection takes

The ports were drawn by binding port 0, so from the range of outgoing connections, and the first replica, which already runs, opens connections to the others before they listen.

Nothing in the product is changed and no assertion either: the ports are drawn below the range of outgoing connections.

--- a/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
+++ b/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
@@ -43,6 +44,10 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+	private static final int FIRST_PORT = 22_000;
+
+	private static final int LAST_PORT = 32_000;
+
 	private final List<ReplicaPeer> peers = new ArrayList<>();
 
 	private final List<Path> folders = new ArrayList<>();
@@ -68,9 +73,18 @@
 		this.nodes.forEach(Node::stop);
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
+	// Below the ports that the system gives to outgoing connections: a replica that
+	// already
+	// runs connects to the others and could take their ports.
+	private static int freePort() {
+		while (true) {
+			int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+				return socket.getLocalPort();
+			}
+			catch (IOException ex) {
+				// The port is in use; another one is drawn.
+			}
 		}
 	}
 
