Use a worker again only after three reports that follow its sign-off

Change: three reports have to follow the sign-off, none of them draining. workerThatReportsAfterItsSignOffGetsTasks asks for it, and failed before.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
@@ -24,6 +24,11 @@
 	/** Longer than most workers stay faulty; afterwards the worker is tried again. */
 	private static final long SUSPICION_TIMEOUT_NANOS = Duration.ofSeconds(6).toNanos();
 
+	/**
+	 * More reports than the few that may be on their way when a worker signs off.
+	 */
+	private static final int REPORTS_AFTER_LATE_SIGN_OFF = 3;
+
 	private final Map<TaskId, ReportedRun> running = new HashMap<>();
 
 	private final Map<TaskId, Integer> missingReports = new HashMap<>();
@@ -40,6 +45,8 @@
 
 	private boolean left;
 
+	private int reportsSinceLeft;
+
 	private boolean displaced;
 
 	TrackedWorker(WorkerReport report, long nowNanos, long leaseEndNanos) {
@@ -60,8 +67,7 @@
 
 	private void accept(WorkerReport newer, long nowNanos) {
 		this.displaced = false;
-		// A sign-off that arrives late is one of the previous incarnation.
-		this.left = this.left && newer.draining();
+		this.reportsSinceLeft = newer.draining() ? 0 : this.reportsSinceLeft + 1;
 		this.report = newer;
 		this.lastReportNanos = nowNanos;
 		this.running.clear();
@@ -151,6 +157,13 @@
 	// The lease continues: if the response is lost, the worker keeps running for seconds.
 	void markLeft() {
 		this.left = true;
+		this.reportsSinceLeft = 0;
+	}
+
+	// A worker that goes on reporting has not left: the sign-off was a late one of its
+	// previous incarnation.
+	private boolean gone() {
+		return this.left && this.reportsSinceLeft < REPORTS_AFTER_LATE_SIGN_OFF;
 	}
 
 	// A later report that is followed again undoes this.
@@ -193,7 +206,7 @@
 	 * displaced by another one at its address
 	 */
 	public boolean schedulable(long nowNanos, Duration silenceTimeout) {
-		return !this.left && !this.displaced && !this.report.draining() && reachable(nowNanos, silenceTimeout)
+		return !gone() && !this.displaced && !this.report.draining() && reachable(nowNanos, silenceTimeout)
 				&& !suspected(nowNanos);
 	}
 
