Log why a run is given up, and which reports and ends are ignored

Cause: FLEET_RUN_ENDED said LOST whether a lease had ended, another process had taken the place of the worker, or its reports lacked the run. A report that is not followed, and the end of a run that is no longer the current one, left no line at all, though the response acknowledges that end.

Change: FLEET_RUN_GIVEN_UP (6029) names the cause and how long the worker was silent, FLEET_END_IGNORED (6030) the run that counts instead and the number that is acknowledged, FLEET_REPORT_IGNORED (6028) the reason and what the sender claims. Three counters go with them. No decision is changed.

Measured: GivenUpRunTests (7 tests) covers five of the six causes, the ignored ends and the reasons; they and the tests of the fleet loop and the metrics pass.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
@@ -1,5 +1,8 @@
 package io.verbenatrack.fleet.policy;
 
+import java.util.Optional;
+
+import io.verbenatrack.fleet.model.ReportedEnd;
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
@@ -39,6 +42,45 @@
 
 	}
 
+	/**
+	 * A report was not followed.
+	 *
+	 * @param report the report
+	 * @param reason the reason
+	 */
+	record ReportIgnored(WorkerReport report, IgnoreReason reason) implements FleetEvent {
+
+	}
+
+	/**
+	 * A run is taken for lost, so that its task may start again.
+	 *
+	 * @param task the task
+	 * @param run the run number
+	 * @param incarnation the incarnation of the worker that may have run it
+	 * @param cause why it is lost
+	 * @param silentMillis the time since the worker reported last in this term, or since
+	 * the term began, in milliseconds
+	 */
+	record RunGivenUp(TaskId task, int run, WorkerIncarnation incarnation, LossCause cause,
+			long silentMillis) implements FleetEvent {
+
+	}
+
+	/**
+	 * A reported end changes nothing: the run is not the current one of its task. The
+	 * response to the report acknowledges the end all the same.
+	 *
+	 * @param incarnation the incarnation of the worker
+	 * @param end the end
+	 * @param currentRun the number of the last run of the task, 0 for none
+	 * @param currentWorker the worker on which the task runs now
+	 */
+	record EndIgnored(WorkerIncarnation incarnation, ReportedEnd end, int currentRun,
+			Optional<WorkerIncarnation> currentWorker) implements FleetEvent {
+
+	}
+
 	/**
 	 * A worker is suspected of a fault after several consecutive jobs failed on it. It
 	 * gets no new tasks until the suspicion expires.
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -53,6 +53,8 @@
 
 	private final long term;
 
+	private final long startNanos;
+
 	private final List<FleetEvent> events = new ArrayList<>();
 
 	private final StalledRunMover runMover;
@@ -85,6 +87,7 @@
 		this.state = state;
 		this.timings = timings;
 		this.term = term;
+		this.startNanos = now.nanos();
 		this.registry = new WorkerRegistry(now.nanos(), timings.maxLeaseNanos());
 		this.runMover = new StalledRunMover(state, this.registry);
 		this.placementHistory = new PlacementHistory(this.runMover);
@@ -103,16 +106,22 @@
 		long nowNanos = arrived.nanos();
 		Optional<TrackedWorker> before = this.registry.worker(report.life());
 		boolean wasDraining = before.filter((worker) -> worker.report().draining()).isPresent();
-		Optional<TrackedWorker> known = this.registry.update(report, this.state.runsOn(report.life()).keySet(),
-				nowNanos);
-		if (known.isPresent() && before.isEmpty()) {
-			this.events.add(new FleetEvent.WorkerJoined(report));
-		}
-		if (known.isPresent() && report.draining() && !wasDraining) {
-			this.events.add(new FleetEvent.WorkerDraining(report.life(), report.running().size()));
-		}
-		known.ifPresent((worker) -> this.events.addAll(this.runMover.inspect(worker, nowNanos)));
-		return known.map((worker) -> recordRunEnds(worker, report, nowNanos));
+		return switch (this.registry.update(report, this.state.runsOn(report.life()).keySet(), nowNanos)) {
+			case ReportDecision.Ignored ignored -> {
+				this.events.add(new FleetEvent.ReportIgnored(report, ignored.reason()));
+				yield Optional.empty();
+			}
+			case ReportDecision.Followed followed -> {
+				if (before.isEmpty()) {
+					this.events.add(new FleetEvent.WorkerJoined(report));
+				}
+				if (report.draining() && !wasDraining) {
+					this.events.add(new FleetEvent.WorkerDraining(report.life(), report.running().size()));
+				}
+				this.events.addAll(this.runMover.inspect(followed.worker(), nowNanos));
+				yield Optional.of(recordRunEnds(followed.worker(), report, nowNanos));
+			}
+		};
 	}
 
 	private List<FleetCommand> recordRunEnds(TrackedWorker worker, WorkerReport report, long nowNanos) {
@@ -127,6 +136,9 @@
 					this.events.add(new FleetEvent.WorkerSuspected(report.life()));
 				}
 			}
+			else if (!ended.contains(end.task())) {
+				reportIgnoredEnd(report.life(), end);
+			}
 		}
 		this.state.runsOn(report.life()).forEach((task, run) -> {
 			if (worker.reportsRunning(task, run) || ended.contains(task)) {
@@ -134,12 +146,35 @@
 			}
 			else if (provesMissing(report, task, run, nowNanos) && !shouldRun(task)
 					&& (isUnsent(task, run) || worker.incrementMissing(task) >= MAX_MISSING_REPORTS)) {
-				commands.add(new FleetCommand.EndRun(task, run, report.life(), RunOutcome.LOST, ""));
+				LossCause cause = isUnsent(task, run) ? LossCause.START_NOT_SENT : LossCause.MISSING_IN_REPORTS;
+				commands.add(giveUp(task, run, report.life(), cause, "", nowNanos));
 			}
 		});
 		return commands;
 	}
 
+	// An end that is listed again since its acknowledgement was lost is no news.
+	private void reportIgnoredEnd(WorkerIncarnation incarnation, ReportedEnd end) {
+		Optional<TaskState> task = this.state.step(end.task()).map((step) -> step.tasks().get(end.task().index()));
+		boolean recorded = task
+			.filter((known) -> known.run() == end.run() && (known.done() || end.how() != RunOutcome.DONE))
+			.isPresent();
+		if (!recorded) {
+			this.events.add(new FleetEvent.EndIgnored(incarnation, end, task.map(TaskState::run).orElse(0),
+					task.flatMap(TaskState::runningOn)));
+		}
+	}
+
+	private FleetCommand.EndRun giveUp(TaskId task, int run, WorkerIncarnation incarnation, LossCause cause,
+			String checkpoint, long nowNanos) {
+		long lastReportNanos = this.registry.worker(incarnation)
+			.map(TrackedWorker::lastReportNanos)
+			.orElse(this.startNanos);
+		this.events.add(new FleetEvent.RunGivenUp(task, run, incarnation, cause,
+				Duration.ofNanos(nowNanos - lastReportNanos).toMillis()));
+		return new FleetCommand.EndRun(task, run, incarnation, RunOutcome.LOST, checkpoint);
+	}
+
 	// Whether a report without a run can only mean that the worker does not have it.
 	private boolean provesMissing(WorkerReport report, TaskId task, int run, long nowNanos) {
 		boolean inherited = Integer.valueOf(run).equals(this.inheritedRuns.get(task));
@@ -170,13 +205,14 @@
 		Duration silenceTimeout = this.timings.silenceTimeout(this.registry.workers().size());
 		for (WorkerIncarnation incarnation : this.state.incarnationsInUse()) {
 			Optional<TrackedWorker> known = this.registry.worker(incarnation);
-			if (this.registry.lost(incarnation, nowNanos)) {
+			Optional<LossCause> cause = this.registry.lossCause(incarnation, nowNanos);
+			if (cause.isPresent()) {
 				this.state.runsOn(incarnation)
-					.forEach((task, run) -> commands.add(new FleetCommand.EndRun(task, run, incarnation,
-							RunOutcome.LOST, known.map((worker) -> worker.checkpoint(task, run)).orElse(""))));
+					.forEach((task, run) -> commands.add(giveUp(task, run, incarnation, cause.get(),
+							known.map((worker) -> worker.checkpoint(task, run)).orElse(""), nowNanos)));
 			}
 			else if (known.filter((worker) -> worker.reachable(nowNanos, silenceTimeout)).isEmpty()) {
-				withdrawUnsentStarts(incarnation, commands);
+				withdrawUnsentStarts(incarnation, commands, nowNanos);
 			}
 		}
 		this.registry.removeExpired(nowNanos)
@@ -186,10 +222,10 @@
 	}
 
 	// A start that was never sent to the silent worker cannot have begun there.
-	private void withdrawUnsentStarts(WorkerIncarnation incarnation, List<FleetCommand> commands) {
+	private void withdrawUnsentStarts(WorkerIncarnation incarnation, List<FleetCommand> commands, long nowNanos) {
 		this.state.runsOn(incarnation).forEach((task, run) -> {
 			if (isUnsent(task, run)) {
-				commands.add(new FleetCommand.EndRun(task, run, incarnation, RunOutcome.LOST, ""));
+				commands.add(giveUp(task, run, incarnation, LossCause.START_NOT_SENT, "", nowNanos));
 			}
 		});
 	}
--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/IgnoreReason.java
@@ -0,0 +1,20 @@
+package io.verbenatrack.fleet.policy;
+
+/**
+ * Why a report is not followed.
+ */
+public enum IgnoreReason {
+
+	/** A report with a higher sequence number has arrived before. */
+	OUTDATED,
+
+	/** A newer incarnation of the worker has reported. */
+	EARLIER_INCARNATION,
+
+	/** A newer worker has reported from the same address. */
+	ADDRESS_REUSED,
+
+	/** Another incarnation holds the place of the worker under a valid lease. */
+	PLACE_HELD
+
+}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
@@ -48,29 +48,30 @@
 	 * @param report the report
 	 * @param started the tasks that were started on this incarnation
 	 * @param nowNanos the time of arrival in nanoseconds of the monotonic clock
-	 * @return the worker, or empty when the report is not to be followed
+	 * @return the updated worker, or why the report is not followed
 	 */
-	public Optional<TrackedWorker> update(WorkerReport report, Set<TaskId> started, long nowNanos) {
+	ReportDecision update(WorkerReport report, Set<TaskId> started, long nowNanos) {
 		WorkerId id = report.life().worker();
 		TrackedWorker known = this.workers.get(id);
 		if (known != null && known.incarnation().bornMillis() > report.life().bornMillis()) {
-			return Optional.empty();
+			return new ReportDecision.Ignored(IgnoreReason.EARLIER_INCARNATION);
 		}
 		if (replaced(report.life(), report.address())) {
-			return Optional.empty();
+			return new ReportDecision.Ignored(IgnoreReason.ADDRESS_REUSED);
 		}
 		boolean moved = known == null || !known.report().address().equals(report.address());
 		boolean begins = known == null || !known.incarnation().equals(report.life());
 		if ((begins || moved) && claimsHeldPlace(report, started, begins, nowNanos)) {
-			return Optional.empty();
+			return new ReportDecision.Ignored(IgnoreReason.PLACE_HELD);
 		}
 		if (begins) {
 			known = new TrackedWorker(report, nowNanos, this.inheritedLeaseEndNanos);
 			this.workers.put(id, known);
 			markDisplaced(report);
-			return Optional.of(known);
+			return new ReportDecision.Followed(known);
 		}
-		return known.update(report, nowNanos) ? Optional.of(known) : Optional.empty();
+		return known.update(report, nowNanos) ? new ReportDecision.Followed(known)
+				: new ReportDecision.Ignored(IgnoreReason.OUTDATED);
 	}
 
 	// An entry of another writer may name the identifier or the address of a worker that
@@ -114,21 +115,28 @@
 	}
 
 	/**
-	 * Returns whether an incarnation of a worker has certainly stopped all runs: its
-	 * lease has expired, or a newer incarnation or another worker has replaced it.
+	 * Returns why an incarnation of a worker has certainly stopped all runs: its lease
+	 * has expired, or a newer incarnation or another worker has replaced it.
 	 * @param incarnation the incarnation
 	 * @param nowNanos the time in nanoseconds of the monotonic clock
-	 * @return whether its runs are lost
+	 * @return why its runs are lost, or empty when they may go on
 	 */
-	public boolean lost(WorkerIncarnation incarnation, long nowNanos) {
+	Optional<LossCause> lossCause(WorkerIncarnation incarnation, long nowNanos) {
 		TrackedWorker known = this.workers.get(incarnation.worker());
 		if (known == null) {
-			return nowNanos - this.inheritedLeaseEndNanos > 0;
+			return causeIf(nowNanos - this.inheritedLeaseEndNanos > 0, LossCause.INHERITED_LEASE_EXPIRED);
 		}
 		if (!known.incarnation().equals(incarnation)) {
-			return known.incarnation().bornMillis() > incarnation.bornMillis();
+			return causeIf(known.incarnation().bornMillis() > incarnation.bornMillis(), LossCause.NEWER_INCARNATION);
 		}
-		return nowNanos - known.leaseEndNanos() > 0 || replaced(incarnation, known.report().address());
+		if (nowNanos - known.leaseEndNanos() > 0) {
+			return Optional.of(LossCause.LEASE_EXPIRED);
+		}
+		return causeIf(replaced(incarnation, known.report().address()), LossCause.ADDRESS_REUSED);
+	}
+
+	private static Optional<LossCause> causeIf(boolean lost, LossCause cause) {
+		return lost ? Optional.of(cause) : Optional.empty();
 	}
 
 	/**
--- /dev/null
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/GivenUpRunTests.java
@@ -0,0 +1,119 @@
+package io.verbenatrack.fleet.policy;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.testng.annotations.Test;
+
+import io.verbenatrack.fleet.Fixtures;
+import io.verbenatrack.fleet.model.ReportedEnd;
+import io.verbenatrack.fleet.model.RunOutcome;
+import io.verbenatrack.fleet.model.WorkerIncarnation;
+import io.verbenatrack.fleet.model.WorkerReport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that the events of {@link FleetScheduler} tell why a run was given up, and which
+ * end or report was ignored.
+ */
+public class GivenUpRunTests extends SchedulerFixture {
+
+	private static final WorkerIncarnation LATER = new WorkerIncarnation(ONE.worker(), 5000);
+
+	private <T extends FleetEvent> List<T> events(Class<T> kind) {
+		return this.scheduler.drainEvents().stream().filter(kind::isInstance).map(kind::cast).toList();
+	}
+
+	private void startRun() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		report(ONE, List.of(running(1, 0, 1)));
+	}
+
+	private FleetEvent.RunGivenUp givenUp(LossCause cause, long silentMillis) {
+		return new FleetEvent.RunGivenUp(task(1, 0), 1, ONE, cause, silentMillis);
+	}
+
+	@Test
+	public void expiredLeaseIsTheCause() {
+		startRun();
+		this.nowMillis += 7000;
+		place();
+		assertThat(events(FleetEvent.RunGivenUp.class)).containsExactly(givenUp(LossCause.LEASE_EXPIRED, 7000));
+	}
+
+	@Test
+	public void expiredLeaseOfAnEarlierTermIsTheCause() {
+		startRun();
+		startNextTerm();
+		this.nowMillis += 7000;
+		place();
+		assertThat(events(FleetEvent.RunGivenUp.class))
+			.containsExactly(givenUp(LossCause.INHERITED_LEASE_EXPIRED, 7000));
+	}
+
+	@Test
+	public void newerIncarnationIsTheCause() {
+		startRun();
+		this.nowMillis += 300;
+		report(Fixtures.report(LATER, 1, false, List.of(), List.of()));
+		assertThat(events(FleetEvent.RunGivenUp.class)).extracting(FleetEvent.RunGivenUp::cause)
+			.containsExactly(LossCause.NEWER_INCARNATION);
+		report(ONE, List.of(running(1, 0, 1)));
+		assertThat(events(FleetEvent.ReportIgnored.class)).extracting(FleetEvent.ReportIgnored::reason)
+			.containsExactly(IgnoreReason.EARLIER_INCARNATION);
+	}
+
+	@Test
+	public void newerWorkerAtTheSameAddressIsTheCause() {
+		startRun();
+		WorkerReport own = Fixtures.report(ONE, 1, false, List.of(), List.of());
+		WorkerIncarnation other = new WorkerIncarnation(TWO.worker(), 5000);
+		report(new WorkerReport(other, own.address(), own.service(), own.zone(), own.rack(), own.labels(), own.room(),
+				false, own.stayMillis(), 1, List.of(), List.of()));
+		assertThat(events(FleetEvent.RunGivenUp.class)).extracting(FleetEvent.RunGivenUp::cause)
+			.containsExactly(LossCause.ADDRESS_REUSED);
+		report(ONE, List.of(running(1, 0, 1)));
+		assertThat(events(FleetEvent.ReportIgnored.class)).extracting(FleetEvent.ReportIgnored::reason)
+			.containsExactly(IgnoreReason.ADDRESS_REUSED);
+	}
+
+	@Test
+	public void startThatWasNeverSentIsTheCause() {
+		report(ONE, List.of());
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		place();
+		this.nowMillis += 3000;
+		place();
+		assertThat(events(FleetEvent.RunGivenUp.class)).containsExactly(givenUp(LossCause.START_NOT_SENT, 3000));
+	}
+
+	// Tells apart the ends that a restarted task is about: an end that was never
+	// recorded,
+	// and one that was recorded before its acknowledgement was lost.
+	@Test
+	public void doneEndOfAGivenUpRunIsReportedAsIgnored() {
+		startRun();
+		this.nowMillis += 7000;
+		report(TWO, List.of());
+		this.scheduler.drainEvents();
+		ReportedEnd end = new ReportedEnd(3, task(1, 0), 1, RunOutcome.DONE, "");
+		assertThat(report(ONE, List.of(), end).takenNote()).isEqualTo(3);
+		assertThat(events(FleetEvent.EndIgnored.class))
+			.containsExactly(new FleetEvent.EndIgnored(ONE, end, 2, Optional.of(TWO)));
+		ReportedEnd recorded = new ReportedEnd(1, task(1, 0), 2, RunOutcome.DONE, "");
+		report(TWO, List.of(), recorded);
+		report(TWO, List.of(), recorded);
+		assertThat(events(FleetEvent.EndIgnored.class)).isEmpty();
+	}
+
+	@Test
+	public void lateReportIsIgnoredAsOutdated() {
+		startRun();
+		report(Fixtures.report(ONE, 1, false, List.of(), List.of()));
+		assertThat(events(FleetEvent.ReportIgnored.class)).extracting(FleetEvent.ReportIgnored::reason)
+			.containsExactly(IgnoreReason.OUTDATED);
+	}
+
+}
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
@@ -4,7 +4,9 @@
 
 import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.TaskId;
+import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.policy.FleetEvent;
+import io.verbenatrack.fleet.policy.IgnoreReason;
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.telemetry.EventLog;
 import io.verbenatrack.telemetry.EventLog.Field;
@@ -55,6 +57,19 @@
 			case FleetEvent.WorkerGone gone ->
 				events.write(LogEvent.FLEET_WORKER_GONE, new Field("worker", gone.incarnation().worker()),
 						new Field("silentMillis", gone.silentMillis()), termField);
+			case FleetEvent.ReportIgnored ignored -> writeIgnoredReport(events, termField, ignored);
+			case FleetEvent.RunGivenUp givenUp -> events.write(LogEvent.FLEET_RUN_GIVEN_UP,
+					new Field("job", givenUp.task().job()), new Field("task", taskNumber(givenUp.task())),
+					new Field("run", givenUp.run()), new Field("worker", givenUp.incarnation().worker()),
+					new Field("born", givenUp.incarnation().bornMillis()), new Field("cause", givenUp.cause()),
+					new Field("silentMillis", givenUp.silentMillis()), termField);
+			case FleetEvent.EndIgnored ignored -> events.write(LogEvent.FLEET_END_IGNORED,
+					new Field("job", ignored.end().task().job()), new Field("task", taskNumber(ignored.end().task())),
+					new Field("run", ignored.end().run()), new Field("worker", ignored.incarnation().worker()),
+					new Field("born", ignored.incarnation().bornMillis()), new Field("how", ignored.end().how()),
+					new Field("end", ignored.end().number()), new Field("currentRun", ignored.currentRun()),
+					new Field("currentWorker", ignored.currentWorker().map(WorkerIncarnation::worker).orElse(null)),
+					termField);
 			case FleetEvent.WorkerSuspected suspected -> events.write(LogEvent.FLEET_WORKER_SUSPECTED,
 					new Field("worker", suspected.incarnation().worker()), termField);
 			case FleetEvent.RunPreempted preempted ->
@@ -72,6 +87,17 @@
 		}
 	}
 
+	// Late and repeated reports arrive all the time and change nothing.
+	private static void writeIgnoredReport(EventLog events, Field termField, FleetEvent.ReportIgnored ignored) {
+		if (ignored.reason() == IgnoreReason.OUTDATED) {
+			return;
+		}
+		events.write(LogEvent.FLEET_REPORT_IGNORED, new Field("worker", ignored.report().life().worker()),
+				new Field("born", ignored.report().life().bornMillis()),
+				new Field("address", ignored.report().address()), new Field("service", ignored.report().service()),
+				new Field("sequence", ignored.report().sequence()), new Field("reason", ignored.reason()), termField);
+	}
+
 	private static String describeSteps(JobPlan plan) {
 		return plan.steps()
 			.stream()
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -21,6 +21,7 @@
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.fleet.call.FleetCall;
 import io.verbenatrack.fleet.call.FleetReply;
+import io.verbenatrack.fleet.policy.FleetEvent;
 import io.verbenatrack.fleet.policy.FleetScheduler;
 import io.verbenatrack.fleet.policy.FleetTimings;
 import io.verbenatrack.fleet.state.FleetBatch;
@@ -214,14 +215,30 @@
 		List<FleetCommand> lostRuns = decideCalls(leaderTerm, batch, decisions);
 		ProposalOutcome callsOutcome = commitCalls(leaderTerm, decisions, lostRuns);
 		boolean turnCommitted = committed(callsOutcome) && committed(placeTasks(leaderTerm));
-		leaderTerm.scheduler.drainEvents()
-			.forEach((event) -> DecisionLogger.write(this.events, leaderTerm.term, event));
+		leaderTerm.scheduler.drainEvents().forEach((event) -> {
+			DecisionLogger.write(this.events, leaderTerm.term, event);
+			count(event);
+		});
 		answer(batch, decisions, callsOutcome, turnCommitted);
 		if (!turnCommitted) {
 			endTerm();
 		}
 	}
 
+	private void count(FleetEvent event) {
+		switch (event) {
+			case FleetEvent.ReportIgnored ignored ->
+				this.metrics.counter(MetricName.FLEET_REPORTS_IGNORED, ignored.reason().name()).increment();
+			case FleetEvent.RunGivenUp givenUp ->
+				this.metrics.counter(MetricName.FLEET_RUNS_GIVEN_UP, givenUp.cause().name()).increment();
+			case FleetEvent.EndIgnored ignored ->
+				this.metrics.counter(MetricName.FLEET_ENDS_IGNORED, ignored.end().how().name()).increment();
+			default -> {
+				// Not counted.
+			}
+		}
+	}
+
 	private LeaderTerm beginTerm() {
 		long term = this.log.term();
 		if (this.currentTerm.isEmpty() || this.currentTerm.get().term != term) {
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -261,7 +261,22 @@
 	/** The leader failed to decide on a call or to answer it. */
 	FLEET_CALL_FAILED(6027, System.Logger.Level.ERROR,
 			"The leader failed to decide on a call or to answer it; other calls are not affected.",
-			"Report it with the fields of this event.");
+			"Report it with the fields of this event."),
+
+	/** A report of a worker is not followed. */
+	FLEET_REPORT_IGNORED(6028, System.Logger.Level.WARNING,
+			"A report of a worker is not followed, so its sender gets no lease and no work.",
+			"If it repeats, check which process sends it under the id or address of the worker."),
+
+	/** A run is taken for lost. */
+	FLEET_RUN_GIVEN_UP(6029, System.Logger.Level.INFO,
+			"A run is taken for lost for the reason in the cause field, so that its task may start again.",
+			"If workers are silent, check them and their network connections."),
+
+	/** The reported end of a run changes nothing. */
+	FLEET_END_IGNORED(6030, System.Logger.Level.INFO,
+			"The reported end of a run is acknowledged and changes nothing, as the run is not the current one.",
+			"If it ended as done, see why it was given up: FLEET_RUN_GIVEN_UP of the same task and run.");
 
 	private final int number;
 
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
@@ -137,7 +137,19 @@
 
 	/** Committed decisions of the fleet leader, by kind. */
 	FLEET_DECISIONS(Type.COUNTER, "verbenatrack.fleet.decisions", "",
-			"Committed decisions of the fleet's leader, by kind.", "decision");
+			"Committed decisions of the fleet's leader, by kind.", "decision"),
+
+	/** Reports of workers that are not followed, by reason. */
+	FLEET_REPORTS_IGNORED(Type.COUNTER, "verbenatrack.fleet.reports.ignored", "",
+			"Reports of workers that are not followed, by reason.", "reason"),
+
+	/** Runs taken for lost, by cause. */
+	FLEET_RUNS_GIVEN_UP(Type.COUNTER, "verbenatrack.fleet.runs.given.up", "",
+			"Runs taken for lost, so that their tasks may start again, by cause.", "cause"),
+
+	/** Reported ends of runs that are not the current ones, by outcome. */
+	FLEET_ENDS_IGNORED(Type.COUNTER, "verbenatrack.fleet.ends.ignored", "",
+			"Reported ends of runs that are not the current ones of their tasks, by outcome.", "outcome");
 
 	private final Type type;
 
