Follow no report for a service that the configuration does not name

One heartbeat of another writer, under the id of the worker and for a service that no configuration names, was enough: it came with a later start, no runs and a small sequence number.

Cause: such a report was taken for the next incarnation of the worker, or for a new worker at its address, and the runs of the true one counted as lost at once, under a lease that it held. A new leader that got it before the report of the true worker did the same: the true worker may have ended its run as done by then, and a leader after it acknowledges that end.

Change: a report is followed only if the configuration in force names its service, or if it comes from an incarnation that is known for that service or has runs, since a configuration may have removed the service meanwhile. Before there is a configuration no report is followed: there is no work then. FLEET_REPORT_IGNORED tells UNKNOWN_SERVICE.

--- a/fleet/src/main/java/io/verbenatrack/fleet/model/ConfigurationIndex.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/model/ConfigurationIndex.java
@@ -3,12 +3,15 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.verbenatrack.model.AccountId;
+import io.verbenatrack.model.ServiceId;
 
 /**
  * Indexes the queues and accounts of one configuration. Every call and every waiting job
@@ -30,6 +33,8 @@
 
 	private final Map<AccountId, FleetAccount> accounts = new HashMap<>();
 
+	private final Set<ServiceId> services = new HashSet<>();
+
 	/**
 	 * Creates an index.
 	 * @param configuration the configuration to index
@@ -42,6 +47,7 @@
 		}
 		Comparator<Queue> longestFirst = Comparator.comparingInt((Queue queue) -> -queue.pathPrefix().length());
 		this.queuesByHost.values().forEach((queues) -> queues.sort(longestFirst));
+		configuration.pools().forEach((pool) -> this.services.add(pool.service()));
 		for (FleetAccount account : configuration.accounts()) {
 			this.accounts.put(account.account(), account);
 			account.keys().forEach((key) -> this.accountsByKey.put(key, account));
@@ -85,6 +91,15 @@
 		return Optional.ofNullable(this.queuesByName.get(name));
 	}
 
+	/**
+	 * Returns whether the configuration has a worker pool for a service.
+	 * @param service the service
+	 * @return whether its workers may take part in the fleet
+	 */
+	public boolean hasService(ServiceId service) {
+		return this.services.contains(service);
+	}
+
 	/**
 	 * Returns the account that an API key belongs to.
 	 * @param key the key
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -106,7 +106,10 @@
 		long nowNanos = arrived.nanos();
 		Optional<TrackedWorker> before = this.registry.worker(report.life());
 		boolean wasDraining = before.filter((worker) -> worker.report().draining()).isPresent();
-		return switch (this.registry.update(report, this.state.runsOn(report.life()).keySet(), nowNanos)) {
+		Set<TaskId> started = this.state.runsOn(report.life()).keySet();
+		ReportDecision decision = servesFleet(report, before, started) ? this.registry.update(report, started, nowNanos)
+				: new ReportDecision.Ignored(IgnoreReason.UNKNOWN_SERVICE);
+		return switch (decision) {
 			case ReportDecision.Ignored ignored -> {
 				this.events.add(new FleetEvent.ReportIgnored(report, ignored.reason()));
 				yield Optional.empty();
@@ -124,6 +127,14 @@
 		};
 	}
 
+	// A worker may go on reporting after a configuration has removed its service, so that
+	// the ends of its runs are recorded.
+	private boolean servesFleet(WorkerReport report, Optional<TrackedWorker> before, Set<TaskId> started) {
+		return this.state.configuration().filter((known) -> known.hasService(report.service())).isPresent()
+				|| !started.isEmpty()
+				|| before.filter((worker) -> worker.report().service().equals(report.service())).isPresent();
+	}
+
 	private List<FleetCommand> recordRunEnds(TrackedWorker worker, WorkerReport report, long nowNanos) {
 		List<FleetCommand> commands = new ArrayList<>();
 		Set<TaskId> ended = new HashSet<>();
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/IgnoreReason.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/IgnoreReason.java
@@ -5,6 +5,9 @@
  */
 public enum IgnoreReason {
 
+	/** No configuration in force names the service. */
+	UNKNOWN_SERVICE,
+
 	/** A report with a higher sequence number has arrived before. */
 	OUTDATED,
 
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/OddReportTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/OddReportTests.java
@@ -7,6 +7,7 @@
 import org.testng.annotations.Test;
 
 import io.verbenatrack.fleet.Fixtures;
+import io.verbenatrack.fleet.model.FleetConfiguration;
 import io.verbenatrack.fleet.model.HeartbeatResponse;
 import io.verbenatrack.fleet.model.ReportedEnd;
 import io.verbenatrack.fleet.model.ReportedRun;
@@ -14,6 +15,8 @@
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.state.FleetCommand;
+import io.verbenatrack.model.ServiceId;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -130,6 +133,69 @@
 			.isPositive();
 	}
 
+	private static WorkerReport reportForService(String service, WorkerIncarnation life, String address, long number,
+			List<ReportedRun> running) {
+		WorkerReport report = reportAt(address, life, number, running);
+		return new WorkerReport(life, address, new ServiceId(service), report.zone(), report.rack(), report.labels(),
+				report.room(), false, report.stayMillis(), number, running, List.of());
+	}
+
+	@DataProvider
+	Object[][] foreignIncarnations() {
+		return new Object[][] { { new WorkerIncarnation(ONE.worker(), 5000) },
+				{ new WorkerIncarnation(Fixtures.incarnation(3).worker(), 5000) } };
+	}
+
+	// Guards against TWICE: a report for a service that no configuration names, under the
+	// id or the address of a worker, made its runs start elsewhere under its lease.
+	@Test(dataProvider = "foreignIncarnations")
+	public void reportForAnUnknownServiceDisplacesNoWorker(WorkerIncarnation foreign) {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		List<ReportedRun> runs = List.of(running(1, 0, 1));
+		report(ONE, runs);
+		report(TWO, List.of());
+		String address = Fixtures.report(ONE, 1, false, runs, List.of()).address();
+		assertThat(report(reportForService("another", foreign, address, 1, List.of())).leaseMillis()).isZero();
+		assertThat(report(TWO, List.of()).starts()).isEmpty();
+		assertThat(this.state.runsOn(ONE)).hasSize(1);
+		assertThat(report(ONE, runs).leaseMillis()).isPositive();
+	}
+
+	// Guards against TWICE: the same report reached a new leader before the true worker
+	// did, which lists the end of the run after its task has started elsewhere.
+	@Test(dataProvider = "foreignIncarnations")
+	public void reportForAnUnknownServiceDisplacesNoWorkerInANewTerm(WorkerIncarnation foreign) {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		report(ONE, List.of(running(1, 0, 1)));
+		startNextTerm();
+		String address = Fixtures.report(ONE, 1, false, List.of(), List.of()).address();
+		report(reportForService("another", foreign, address, 1, List.of()));
+		assertThat(report(TWO, List.of()).starts()).isEmpty();
+		HeartbeatResponse response = report(ONE, List.of(), new ReportedEnd(1, task(1, 0), 1, RunOutcome.DONE, ""));
+		assertThat(response.takenNote()).isEqualTo(1);
+		assertThat(this.state.step(task(1, 0)).orElseThrow().done()).isTrue();
+	}
+
+	@Test
+	public void workerWhoseServiceIsRemovedKeepsReportingItsRuns() {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(1, 1, false)));
+		report(ONE, List.of());
+		List<ReportedRun> runs = List.of(running(1, 0, 1));
+		report(ONE, runs);
+		FleetConfiguration full = Fixtures.configuration(2);
+		commit(List.of(new FleetCommand.AdoptConfiguration(
+				new FleetConfiguration(2, List.of(), List.of(), full.limits(), full.accounts()), new byte[0])));
+		assertThat(report(ONE, runs).leaseMillis()).isPositive();
+		startNextTerm();
+		assertThat(report(ONE, runs).leaseMillis()).isPositive();
+		ReportedEnd end = new ReportedEnd(1, task(1, 0), 1, RunOutcome.DONE, "");
+		assertThat(report(ONE, List.of(), end).takenNote()).isEqualTo(1);
+		assertThat(report(ONE, List.of(), end).takenNote()).isEqualTo(1);
+		assertThat(this.state.step(task(1, 0)).orElseThrow().done()).isTrue();
+	}
+
 	// Guards against a sequence number of another writer that makes each later report of
 	// the true worker outdated.
 	@Test
