Follow no report before the first configuration, and log none of them

The change before logged a line for each report that arrives while the first configuration is awaited: some thousand a second on a fleet of 250 workers, which only the limit on log lines would have held. There is no work yet that a report could be about.

reportsBeforeTheFirstConfigurationLeaveNoEvent guards it.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -100,9 +100,12 @@
 	 * @param report the report of the worker
 	 * @param arrived the time of arrival
 	 * @return the commands to commit before {@link #respond responding}, or empty when
-	 * the report is outdated
+	 * the report is not followed
 	 */
 	public Optional<List<FleetCommand>> receiveReport(WorkerReport report, GrantedTime arrived) {
+		if (this.state.configuration().isEmpty()) {
+			return Optional.empty();
+		}
 		long nowNanos = arrived.nanos();
 		Optional<TrackedWorker> before = this.registry.worker(report.life());
 		boolean wasDraining = before.filter((worker) -> worker.report().draining()).isPresent();
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/GivenUpRunTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/GivenUpRunTests.java
@@ -10,6 +10,7 @@
 import io.verbenatrack.fleet.model.RunOutcome;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.state.FleetState;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -108,6 +109,15 @@
 		assertThat(events(FleetEvent.EndIgnored.class)).isEmpty();
 	}
 
+	// Guards against a line for each report while the first configuration is awaited.
+	@Test
+	public void reportsBeforeTheFirstConfigurationLeaveNoEvent() {
+		this.state = new FleetState();
+		startNextTerm();
+		assertThat(report(ONE, List.of()).leaseMillis()).isZero();
+		assertThat(this.scheduler.drainEvents()).isEmpty();
+	}
+
 	@Test
 	public void lateReportIsIgnoredAsOutdated() {
 		startRun();
