Follow no report of a known worker for another service

A copy of a true report with only the service wrong drained the worker, made its own reports outdated, or ended its runs, which started elsewhere while it still ran them.

Change: an incarnation keeps the service that it reported first in the term; one that is not known yet needs a service of the configuration in force.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -110,7 +110,7 @@
 		Optional<TrackedWorker> before = this.registry.worker(report.life());
 		boolean wasDraining = before.filter((worker) -> worker.report().draining()).isPresent();
 		Set<TaskId> started = this.state.runsOn(report.life()).keySet();
-		ReportDecision decision = servesFleet(report, before, started) ? this.registry.update(report, started, nowNanos)
+		ReportDecision decision = servesFleet(report, before) ? this.registry.update(report, started, nowNanos)
 				: new ReportDecision.Ignored(IgnoreReason.UNKNOWN_SERVICE);
 		return switch (decision) {
 			case ReportDecision.Ignored ignored -> {
@@ -130,12 +130,12 @@
 		};
 	}
 
-	// A worker may go on reporting after a configuration has removed its service, so that
-	// the ends of its runs are recorded.
-	private boolean servesFleet(WorkerReport report, Optional<TrackedWorker> before, Set<TaskId> started) {
-		return this.state.configuration().filter((known) -> known.hasService(report.service())).isPresent()
-				|| !started.isEmpty()
-				|| before.filter((worker) -> worker.report().service().equals(report.service())).isPresent();
+	// A worker keeps its service for life, also when a configuration removes it.
+	private boolean servesFleet(WorkerReport report, Optional<TrackedWorker> before) {
+		return before.map((worker) -> worker.report().service().equals(report.service()))
+			.orElseGet(() -> this.state.configuration()
+				.filter((known) -> known.hasService(report.service()))
+				.isPresent());
 	}
 
 	private List<FleetCommand> recordRunEnds(TrackedWorker worker, WorkerReport report, long nowNanos) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/IgnoreReason.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/IgnoreReason.java
@@ -5,7 +5,10 @@
  */
 public enum IgnoreReason {
 
-	/** No configuration in force names the service. */
+	/**
+	 * The configuration in force does not name the service, or the incarnation has
+	 * reported for another one.
+	 */
 	UNKNOWN_SERVICE,
 
 	/** A report with a higher sequence number has arrived before. */
