Log an ignored end once, and test each cause and reason

Change: an end is logged when an incarnation lists it first in the term. Tests cover the causes and reasons that had none: MISSING_IN_REPORTS, PLACE_HELD and UNKNOWN_SERVICE.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -133,9 +133,8 @@
 	// A worker keeps its service for life, also when a configuration removes it.
 	private boolean servesFleet(WorkerReport report, Optional<TrackedWorker> before) {
 		return before.map((worker) -> worker.report().service().equals(report.service()))
-			.orElseGet(() -> this.state.configuration()
-				.filter((known) -> known.hasService(report.service()))
-				.isPresent());
+			.orElseGet(
+					() -> this.state.configuration().filter((known) -> known.hasService(report.service())).isPresent());
 	}
 
 	private List<FleetCommand> recordRunEnds(TrackedWorker worker, WorkerReport report, long nowNanos) {
@@ -150,10 +149,11 @@
 					this.events.add(new FleetEvent.WorkerSuspected(report.life()));
 				}
 			}
-			else if (!ended.contains(end.task())) {
+			else if (!ended.contains(end.task()) && worker.listsFirst(end)) {
 				reportIgnoredEnd(report.life(), end);
 			}
 		}
+		worker.recordListed(report);
 		this.state.runsOn(report.life()).forEach((task, run) -> {
 			if (worker.reportsRunning(task, run) || ended.contains(task)) {
 				worker.clearMissing(task);
@@ -167,7 +167,7 @@
 		return commands;
 	}
 
-	// An end that is listed again since its acknowledgement was lost is no news.
+	// An end that was recorded before a change of leader is no news.
 	private void reportIgnoredEnd(WorkerIncarnation incarnation, ReportedEnd end) {
 		Optional<TaskState> task = this.state.step(end.task()).map((step) -> step.tasks().get(end.task().index()));
 		boolean recorded = task
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.verbenatrack.fleet.model.ReportedEnd;
 import io.verbenatrack.fleet.model.ReportedRun;
 import io.verbenatrack.fleet.model.RunOutcome;
 import io.verbenatrack.fleet.model.TaskId;
@@ -49,6 +50,8 @@
 
 	private boolean displaced;
 
+	private long highestListedEnd;
+
 	TrackedWorker(WorkerReport report, long nowNanos, long leaseEndNanos) {
 		this.report = report;
 		this.leaseEndNanos = leaseEndNanos;
@@ -90,6 +93,15 @@
 		return this.report.life();
 	}
 
+	// Ends are listed again until their acknowledgement arrives.
+	boolean listsFirst(ReportedEnd end) {
+		return end.number() > this.highestListedEnd;
+	}
+
+	void recordListed(WorkerReport listing) {
+		listing.ended().forEach((end) -> this.highestListedEnd = Math.max(this.highestListedEnd, end.number()));
+	}
+
 	/**
 	 * Returns whether the latest report lists a run as running.
 	 * @param task the task
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/GivenUpRunTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/GivenUpRunTests.java
@@ -10,7 +10,9 @@
 import io.verbenatrack.fleet.model.RunOutcome;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.fleet.state.FleetState;
+import io.verbenatrack.model.ServiceId;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -90,9 +92,7 @@
 		assertThat(events(FleetEvent.RunGivenUp.class)).containsExactly(givenUp(LossCause.START_NOT_SENT, 3000));
 	}
 
-	// Tells apart the ends that a restarted task is about: an end that was never
-	// recorded,
-	// and one that was recorded before its acknowledgement was lost.
+	// Guards against an acknowledged end that leaves no line, or one with each listing.
 	@Test
 	public void doneEndOfAGivenUpRunIsReportedAsIgnored() {
 		startRun();
@@ -103,6 +103,8 @@
 		assertThat(report(ONE, List.of(), end).takenNote()).isEqualTo(3);
 		assertThat(events(FleetEvent.EndIgnored.class))
 			.containsExactly(new FleetEvent.EndIgnored(ONE, end, 2, Optional.of(TWO)));
+		report(ONE, List.of(), end);
+		assertThat(events(FleetEvent.EndIgnored.class)).isEmpty();
 		ReportedEnd recorded = new ReportedEnd(1, task(1, 0), 2, RunOutcome.DONE, "");
 		report(TWO, List.of(), recorded);
 		report(TWO, List.of(), recorded);
@@ -118,6 +120,34 @@
 		assertThat(this.scheduler.drainEvents()).isEmpty();
 	}
 
+	@Test
+	public void runThatReportsLackIsTheCause() {
+		startRun();
+		commit(List.of(new FleetCommand.CancelJob(Fixtures.job(1))));
+		for (int report = 0; report < 3; report++) {
+			report(ONE, List.of());
+		}
+		assertThat(events(FleetEvent.RunGivenUp.class)).extracting(FleetEvent.RunGivenUp::cause)
+			.containsExactly(LossCause.MISSING_IN_REPORTS);
+	}
+
+	@Test
+	public void reportThatClaimsAHeldPlaceIsIgnored() {
+		startRun();
+		report(Fixtures.report(LATER, 1000, false, List.of(running(1, 0, 1)), List.of()));
+		assertThat(events(FleetEvent.ReportIgnored.class)).extracting(FleetEvent.ReportIgnored::reason)
+			.containsExactly(IgnoreReason.PLACE_HELD);
+	}
+
+	@Test
+	public void reportForAnUnknownServiceIsIgnored() {
+		WorkerReport own = Fixtures.report(ONE, 1, false, List.of(), List.of());
+		report(new WorkerReport(ONE, own.address(), new ServiceId("another"), own.zone(), own.rack(), own.labels(),
+				own.room(), false, own.stayMillis(), 1, List.of(), List.of()));
+		assertThat(events(FleetEvent.ReportIgnored.class)).extracting(FleetEvent.ReportIgnored::reason)
+			.containsExactly(IgnoreReason.UNKNOWN_SERVICE);
+	}
+
 	@Test
 	public void lateReportIsIgnoredAsOutdated() {
 		startRun();
