Take a done end for what it is while its task still waits

Callers could see (TWICE): a worker lists the end of a run that the leader has taken for lost. If the task still waits for room, the response acknowledged that the run is done and, in the same message, could carry the start of the next run of the task.

Cause: only the end of the current run was recorded. A run taken for lost is not current, so its done end was dropped, though nothing had replaced it.

Change: a done end finishes its task as long as no later run has started and it comes from the incarnation that ran it last. This holds whatever made the leader give the run up. A gang is done as a whole, as with any done end.

Evidence: doneEndOfAGivenUpRunEndsTheTaskThatWaits failed before, for a gang and for single tasks: the response had the starts of run 2. With the change all tests of fleet and fleetd pass.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -143,7 +143,7 @@
 		for (ReportedEnd end : report.ended()) {
 			FleetCommand.EndRun command = new FleetCommand.EndRun(end.task(), end.run(), report.life(), end.how(),
 					end.checkpoint());
-			if (this.state.isCurrentRun(command) && ended.add(end.task())) {
+			if (this.state.changesTask(command) && ended.add(end.task())) {
 				commands.add(command);
 				if (worker.recordEnd(end.task().job(), end.how(), nowNanos)) {
 					this.events.add(new FleetEvent.WorkerSuspected(report.life()));
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -103,7 +103,7 @@
 	}
 
 	private void end(FleetCommand.EndRun end) {
-		if (!isCurrentRun(end)) {
+		if (!changesTask(end)) {
 			return;
 		}
 		JobState job = this.jobs.get(end.task().job());
@@ -138,10 +138,22 @@
 	}
 
 	/**
-	 * Returns whether a command ends the current run of its task.
+	 * Returns whether a command ends the current run of its task, or tells that a run
+	 * which was taken for lost is done after all, before the task has started again.
 	 * @param end the command
 	 * @return whether applying the command changes the state
 	 */
+	public boolean changesTask(FleetCommand.EndRun end) {
+		return isCurrentRun(end) || (end.how() == RunOutcome.DONE && step(end.task())
+			.filter((step) -> !step.spec().lasting() && step.isLastRun(end.task().index(), end.run(), end.life()))
+			.isPresent());
+	}
+
+	/**
+	 * Returns whether a command ends the current run of its task.
+	 * @param end the command
+	 * @return whether the run was started there and its end is not recorded yet
+	 */
 	public boolean isCurrentRun(FleetCommand.EndRun end) {
 		return step(end.task()).filter((step) -> step.isCurrentRun(end.task().index(), end.run(), end.life()))
 			.isPresent();
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/StepState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/StepState.java
@@ -103,6 +103,11 @@
 		return task.run() == run && task.runningOn().filter(incarnation::equals).isPresent();
 	}
 
+	// Whether the run of a task was taken for lost, and no later one has started.
+	boolean isLastRun(int index, int run, WorkerIncarnation incarnation) {
+		return index >= 0 && index < this.tasks.size() && this.tasks.get(index).lastRan(run, incarnation);
+	}
+
 	void end(int index, RunOutcome how, String checkpoint) {
 		TaskState task = this.tasks.get(index);
 		boolean failed = how == RunOutcome.FAILED;
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/TaskState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/TaskState.java
@@ -80,6 +80,10 @@
 		return !this.done && this.runningOn.isEmpty();
 	}
 
+	boolean lastRan(int number, WorkerIncarnation incarnation) {
+		return waiting() && this.run == number && this.lastOn.filter(incarnation::equals).isPresent();
+	}
+
 	void start(int number, WorkerIncarnation incarnation) {
 		this.run = number;
 		this.runningOn = Optional.of(incarnation);
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/GivenUpRunTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/GivenUpRunTests.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import io.verbenatrack.fleet.Fixtures;
+import io.verbenatrack.fleet.model.HeartbeatResponse;
 import io.verbenatrack.fleet.model.ReportedEnd;
 import io.verbenatrack.fleet.model.RunOutcome;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
@@ -111,6 +113,28 @@
 		assertThat(events(FleetEvent.EndIgnored.class)).isEmpty();
 	}
 
+	// Guards against a task that starts again with the response that acknowledges its
+	// done end, since its run was taken for lost before.
+	@Test(dataProvider = "gangs")
+	public void doneEndOfAGivenUpRunEndsTheTaskThatWaits(boolean gang) {
+		accept(1, "batch", Fixtures.plan(Fixtures.step(2, 4, gang)));
+		report(ONE, List.of());
+		report(ONE, List.of(running(1, 0, 1), running(1, 1, 1)));
+		this.nowMillis += 7000;
+		place();
+		assertThat(this.state.runsOn(ONE)).isEmpty();
+		HeartbeatResponse response = report(ONE, List.of(), new ReportedEnd(1, task(1, 0), 1, RunOutcome.DONE, ""),
+				new ReportedEnd(2, task(1, 1), 1, RunOutcome.DONE, ""));
+		assertThat(response.takenNote()).isEqualTo(2);
+		assertThat(response.starts()).isEmpty();
+		assertThat(this.state.step(task(1, 0)).orElseThrow().done()).isTrue();
+	}
+
+	@DataProvider
+	Object[][] gangs() {
+		return new Object[][] { { false }, { true } };
+	}
+
 	// Guards against a line for each report while the first configuration is awaited.
 	@Test
 	public void reportsBeforeTheFirstConfigurationLeaveNoEvent() {
