Model other writers, late reports and clocks of workers that jump

Cause: the seeded model of leaders and workers had only true workers, whose starts rose, and workers that were cut off rarely crashed before their reports arrived.

Change: another writer claims the place of a worker at any moment and at the start of a term, for a service that no configuration names. Reports are up to 10 s late, workers crash while they are cut off, and leaders change about the time that the late reports arrive. A second test lets the wall clocks of the workers jump by up to 5 s, so that an incarnation may state an earlier start than the one before it.

--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerModelTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerModelTests.java
@@ -17,7 +17,14 @@
 	@Test
 	public void promisesHoldInEverySeed() {
 		for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-			assertThat(new ModelFleet(seed).run()).as("seed %d", seed).isEmpty();
+			assertThat(new ModelFleet(seed, false).run()).as("seed %d", seed).isEmpty();
+		}
+	}
+
+	@Test
+	public void promisesHoldWhileTheClocksOfWorkersJump() {
+		for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+			assertThat(new ModelFleet(seed, true).run()).as("seed %d", seed).isEmpty();
 		}
 	}
 
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelFleet.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelFleet.java
@@ -47,6 +47,9 @@
 	/** Enough for every accepted job to end once there are no more faults. */
 	private static final long END_MILLIS = 75_000;
 
+	/** The maximum delay of a report on its way. */
+	private static final long MAX_DELAY_MILLIS = 10_000;
+
 	private static final long MAX_SUSPENSION_MILLIS = 8000;
 
 	private static final long MIN_WORK_MILLIS = 200;
@@ -104,12 +107,26 @@
 	/** Whether the wall clock of the leader jumps again and again in this seed. */
 	private final boolean jumpingClock;
 
-	private int bornWorkers;
+	/** Whether the wall clocks of the workers jump again and again. */
+	private final boolean jumpingWorkerClocks;
+
+	private final ModelBirths births;
+
+	private final ModelIntruder intruder;
 
 	private int newNames;
 
-	ModelFleet(long seed) {
+	/**
+	 * Creates the simulation.
+	 * @param seed the seed
+	 * @param jumpingWorkerClocks whether the wall clocks of the workers jump again and
+	 * again, so that an incarnation may state an earlier start than the one before
+	 */
+	ModelFleet(long seed, boolean jumpingWorkerClocks) {
 		this.random = new Random(seed);
+		this.jumpingWorkerClocks = jumpingWorkerClocks;
+		this.births = new ModelBirths(this.random);
+		this.intruder = new ModelIntruder(this.random);
 		this.faultRate = 1 + 6 * this.random.nextDouble();
 		this.clock = new ModelClock(this.random);
 		this.jumpingClock = this.random.nextBoolean();
@@ -187,8 +204,8 @@
 	}
 
 	private void addWorker(String id, String address) {
-		// Each process starts later than the one before.
-		WorkerIncarnation incarnation = new WorkerIncarnation(new WorkerId(id), 1_000_000 + ++this.bornWorkers);
+		WorkerIncarnation incarnation = new WorkerIncarnation(new WorkerId(id),
+				this.births.born(address, this.nowMillis));
 		ModelWorker worker = new ModelWorker(incarnation, address, LISTED_ENDS, this.random, this, this::now);
 		worker.nextReportMillis = this.nowMillis;
 		this.workers.add(worker);
@@ -272,19 +289,13 @@
 
 	private void causeFaults() {
 		if (chance(this.faultRate * 0.0008)) {
-			ModelWorker worker = anyWorker();
-			long until = this.nowMillis + 300 + this.random.nextLong(11_000);
-			boolean both = chance(0.6);
-			boolean out = both || chance(0.5);
-			if (out) {
-				worker.cutOutUntilMillis = until;
-			}
-			boolean in = both || !out;
-			if (in) {
-				worker.cutInUntilMillis = until;
-			}
-			this.checker
-				.note("cut " + worker.incarnation + " until " + until + (out ? " out" : "") + (in ? " in" : ""));
+			cut(anyWorker());
+		}
+		if (chance(this.faultRate * 0.002)) {
+			intrude();
+		}
+		if (this.jumpingWorkerClocks && chance(this.faultRate * 0.002)) {
+			this.births.step(anyWorker().address);
 		}
 		if (chance(this.faultRate * 0.0006)) {
 			ModelWorker worker = anyWorker();
@@ -314,6 +325,33 @@
 		}
 	}
 
+	private void cut(ModelWorker worker) {
+		long until = this.nowMillis + 300 + this.random.nextLong(11_000);
+		boolean both = chance(0.6);
+		boolean out = both || chance(0.5);
+		if (out) {
+			worker.cutOutUntilMillis = until;
+		}
+		boolean in = both || !out;
+		if (in) {
+			worker.cutInUntilMillis = until;
+		}
+		this.checker.note("cut " + worker.incarnation + " until " + until + (out ? " out" : "") + (in ? " in" : ""));
+		// Its reports may arrive after another incarnation has taken its place.
+		if (chance(0.3)) {
+			at(this.nowMillis + this.random.nextLong(until - this.nowMillis), () -> crash(worker));
+		}
+		if (chance(0.3)) {
+			at(until + this.random.nextLong(-500, 2000), this::changeLeader);
+		}
+	}
+
+	private void intrude() {
+		WorkerReport report = this.intruder.report(anyWorker());
+		this.checker.note("report of another writer " + report.life() + " at " + report.address());
+		this.queued.add(new Call(Optional.empty(), report, this.nowMillis, this.clock.granted()));
+	}
+
 	private ModelWorker anyWorker() {
 		List<ModelWorker> up = this.workers.stream().filter((worker) -> worker.up).toList();
 		return up.isEmpty() ? this.workers.getLast() : up.get(this.random.nextInt(up.size()));
@@ -368,11 +406,11 @@
 				return;
 			}
 			if (chance(0.02)) {
-				arrives += this.random.nextLong(4000);
+				arrives += this.random.nextLong(MAX_DELAY_MILLIS);
 			}
 		}
 		long atMillis = arrives;
-		at(atMillis, () -> this.queued.add(new Call(worker, report, sent, this.clock.granted())));
+		at(atMillis, () -> this.queued.add(new Call(Optional.of(worker), report, sent, this.clock.granted())));
 	}
 
 	private boolean leads() {
@@ -386,6 +424,10 @@
 		this.scheduler = Optional.empty();
 		this.term += 1 + this.random.nextInt(2);
 		this.leaderlessUntilMillis = this.nowMillis + (chance(0.3) ? 0 : this.random.nextLong(1500));
+		// Reports that reach the new leader before most workers do.
+		if (this.nowMillis < FAULTY_MILLIS && chance(0.5)) {
+			at(this.leaderlessUntilMillis, this::intrude);
+		}
 	}
 
 	private void beginTerm() {
@@ -401,7 +443,8 @@
 		List<Call> calls = List.copyOf(this.queued);
 		this.queued.clear();
 		if (!leads()) {
-			calls.forEach((call) -> at(this.nowMillis + 5, () -> call.worker.refused(call.report.sequence())));
+			calls.forEach((call) -> call.worker
+				.ifPresent((worker) -> at(this.nowMillis + 5, () -> worker.refused(call.report.sequence()))));
 			return;
 		}
 		beginTerm();
@@ -425,7 +468,9 @@
 		int answered = (faulty && chance(this.faultRate * 0.001)) ? this.random.nextInt(calls.size() + 1)
 				: Integer.MAX_VALUE;
 		for (int index = 0; index < Math.min(answered, calls.size()); index++) {
-			respond(calls.get(index), current.respond(calls.get(index).report));
+			Call call = calls.get(index);
+			HeartbeatResponse response = current.respond(call.report);
+			call.worker.ifPresent((worker) -> respond(worker, call, response));
 		}
 		if (answered < Integer.MAX_VALUE) {
 			changeLeader();
@@ -433,8 +478,7 @@
 		current.drainEvents();
 	}
 
-	private void respond(Call call, HeartbeatResponse response) {
-		ModelWorker worker = call.worker;
+	private void respond(ModelWorker worker, Call call, HeartbeatResponse response) {
 		boolean faulty = this.nowMillis < FAULTY_MILLIS;
 		if (this.nowMillis < worker.cutInUntilMillis || (faulty && chance(0.01))) {
 			return;
@@ -487,7 +531,7 @@
 		this.undecided = Optional.empty();
 	}
 
-	private record Call(ModelWorker worker, WorkerReport report, long sentMillis, GrantedTime arrived) {
+	private record Call(Optional<ModelWorker> worker, WorkerReport report, long sentMillis, GrantedTime arrived) {
 
 	}
 
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelWorker.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelWorker.java
@@ -18,6 +18,7 @@
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.model.ServiceId;
 import io.verbenatrack.model.ZoneId;
 
 /**
@@ -116,11 +117,14 @@
 			.limit(this.maxListedEnds)
 			.map((end) -> new ReportedEnd(end.number, end.task, end.run, end.how, ""))
 			.toList();
-		WorkerReport report = new WorkerReport(this.incarnation, this.address, Fixtures.SERVICE, new ZoneId("zone"),
-				"rack-1", Set.of("a", "rack-1"), Fixtures.WORKER_ROOM, this.draining, 2000, ++this.lastSequence, runs,
-				ends);
-		this.outstanding = this.lastSequence;
-		return report;
+		this.outstanding = ++this.lastSequence;
+		return reportOf(this.incarnation, Fixtures.SERVICE, this.lastSequence, runs, ends);
+	}
+
+	WorkerReport reportOf(WorkerIncarnation sender, ServiceId service, long number, List<ReportedRun> runs,
+			List<ReportedEnd> ends) {
+		return new WorkerReport(sender, this.address, service, new ZoneId("zone"), "rack-1", Set.of("a", "rack-1"),
+				Fixtures.WORKER_ROOM, this.draining, 2000, number, runs, ends);
 	}
 
 	boolean cutOut(long nowMillis) {
