Give up the runs of a crashed worker whose successor states an earlier start

Cause: a new leader follows the first incarnation that reports under an id. If its clock had been set back, it states an earlier start than the incarnation that crashed, and the runs of that one were given up neither as replaced nor with the lease of the earlier leader, as long as the successor reported.

Change: runs of an incarnation that has not reported in the term are given up when the leases of earlier leaders have ended, whoever reports under its id. An incarnation that did report was either replaced by a later one, or given up with its lease before another one is followed.

Evidence: runOfACrashedIncarnationIsLostThoughItsSuccessorStatesAnEarlierStart failed before.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
@@ -127,7 +127,9 @@
 			return causeIf(nowNanos - this.inheritedLeaseEndNanos > 0, LossCause.INHERITED_LEASE_EXPIRED);
 		}
 		if (!known.incarnation().equals(incarnation)) {
-			return causeIf(known.incarnation().bornMillis() > incarnation.bornMillis(), LossCause.NEWER_INCARNATION);
+			return (known.incarnation().bornMillis() > incarnation.bornMillis())
+					? Optional.of(LossCause.NEWER_INCARNATION)
+					: causeIf(nowNanos - this.inheritedLeaseEndNanos > 0, LossCause.INHERITED_LEASE_EXPIRED);
 		}
 		if (nowNanos - known.leaseEndNanos() > 0) {
 			return Optional.of(LossCause.LEASE_EXPIRED);
