Let no late report of a dead incarnation displace a worker under its lease

Cause: a worker that crashed and stated a later start than its successor, since the clock was set back between, has a report on its way that arrives after the successor has started runs. It was taken for the next incarnation, with few reports and no runs or after a change of leader with any, and the runs of the live worker counted as lost at once. They started elsewhere.

Change: only an incarnation that can be a new process ends the runs of another one at once: it lists neither runs nor ends, its reports are counted anew, and it did not report before another one took its place or it fell silent. Any other waits for the lease of the worker under its id, also for one that an earlier leader granted. Of two incarnations with runs the one that reported in this term keeps its place, and the runs of the other wait for their lease. A true restart is followed at once, as before.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -107,7 +107,8 @@
 		Optional<TrackedWorker> before = this.registry.worker(report.life());
 		boolean wasDraining = before.filter((worker) -> worker.report().draining()).isPresent();
 		Set<TaskId> started = this.state.runsOn(report.life()).keySet();
-		ReportDecision decision = servesFleet(report, before, started) ? this.registry.update(report, started, nowNanos)
+		ReportDecision decision = servesFleet(report, before, started)
+				? this.registry.update(report, this.state.incarnationsInUse(), nowNanos)
 				: new ReportDecision.Ignored(IgnoreReason.UNKNOWN_SERVICE);
 		return switch (decision) {
 			case ReportDecision.Ignored ignored -> {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
@@ -35,6 +35,11 @@
 
 	private final Set<JobId> failedJobs = new HashSet<>();
 
+	/**
+	 * Whether it began as a new process, so that the one whose place it took has ended.
+	 */
+	private final boolean successor;
+
 	private WorkerReport report;
 
 	private long lastReportNanos;
@@ -49,8 +54,9 @@
 
 	private boolean displaced;
 
-	TrackedWorker(WorkerReport report, long nowNanos, long leaseEndNanos) {
+	TrackedWorker(WorkerReport report, boolean successor, long nowNanos, long leaseEndNanos) {
 		this.report = report;
+		this.successor = successor;
 		this.leaseEndNanos = leaseEndNanos;
 		this.suspectUntilNanos = nowNanos;
 		accept(report, nowNanos);
@@ -90,6 +96,10 @@
 		return this.report.life();
 	}
 
+	boolean successor() {
+		return this.successor;
+	}
+
 	/**
 	 * Returns whether the latest report lists a run as running.
 	 * @param task the task
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
@@ -3,12 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
-import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.model.WorkerId;
@@ -26,8 +26,14 @@
 	 */
 	private static final long MAX_FIRST_SEQUENCE = 100;
 
+	/** More than the incarnations whose reports may still be on their way. */
+	private static final int MAX_PAST_INCARNATIONS = 1000;
+
 	private final Map<WorkerId, TrackedWorker> workers = new LinkedHashMap<>();
 
+	/** Incarnations that reported before and were replaced, or fell silent. */
+	private final Set<WorkerIncarnation> past = new LinkedHashSet<>();
+
 	private final long leaseNanos;
 
 	private final long inheritedLeaseEndNanos;
@@ -46,11 +52,11 @@
 	 * Updates a worker from its report unless the report is outdated, or claims the place
 	 * of a worker with a valid lease without being a new incarnation.
 	 * @param report the report
-	 * @param started the tasks that were started on this incarnation
+	 * @param inUse the incarnations on which runs were started
 	 * @param nowNanos the time of arrival in nanoseconds of the monotonic clock
 	 * @return the updated worker, or why the report is not followed
 	 */
-	ReportDecision update(WorkerReport report, Set<TaskId> started, long nowNanos) {
+	ReportDecision update(WorkerReport report, Set<WorkerIncarnation> inUse, long nowNanos) {
 		WorkerId id = report.life().worker();
 		TrackedWorker known = this.workers.get(id);
 		if (known != null && known.incarnation().bornMillis() > report.life().bornMillis()) {
@@ -61,11 +67,15 @@
 		}
 		boolean moved = known == null || !known.report().address().equals(report.address());
 		boolean begins = known == null || !known.incarnation().equals(report.life());
-		if ((begins || moved) && claimsHeldPlace(report, started, begins, nowNanos)) {
+		if ((begins || moved) && claimsHeldPlace(report, inUse, begins, nowNanos)) {
 			return new ReportDecision.Ignored(IgnoreReason.PLACE_HELD);
 		}
 		if (begins) {
-			known = new TrackedWorker(report, nowNanos, this.inheritedLeaseEndNanos);
+			boolean fresh = fresh(report);
+			if (known != null) {
+				addPast(known.incarnation());
+			}
+			known = new TrackedWorker(report, fresh, nowNanos, this.inheritedLeaseEndNanos);
 			this.workers.put(id, known);
 			markDisplaced(report);
 			return new ReportDecision.Followed(known);
@@ -74,20 +84,51 @@
 				: new ReportDecision.Ignored(IgnoreReason.OUTDATED);
 	}
 
-	// An entry of another writer may name the identifier or the address of a worker that
-	// still holds a lease. A new incarnation keeps its address, lists nothing of before,
-	// and its reports are counted anew, unless a leader has started runs on it before.
-	private boolean claimsHeldPlace(WorkerReport report, Set<TaskId> started, boolean begins, long nowNanos) {
-		boolean fresh = report.running().isEmpty() && report.sequence() <= MAX_FIRST_SEQUENCE;
-		if (begins && (fresh || !started.isEmpty())) {
+	// An entry of another writer, or a late report of an earlier incarnation whose clock
+	// was ahead, may name the identifier or the address of a worker that still holds a
+	// lease.
+	private boolean claimsHeldPlace(WorkerReport report, Set<WorkerIncarnation> inUse, boolean begins, long nowNanos) {
+		WorkerIncarnation claimant = report.life();
+		if (begins && fresh(report)) {
 			return false;
 		}
-		return this.workers.values()
+		if (begins && inUse.contains(claimant)) {
+			TrackedWorker holder = this.workers.get(claimant.worker());
+			return holder != null && inUse.contains(holder.incarnation()) && holdsLease(holder, nowNanos);
+		}
+		return holdsInheritedLease(claimant, inUse, nowNanos) || this.workers.values()
 			.stream()
-			.filter((other) -> !other.incarnation().equals(report.life()))
-			.filter((other) -> other.incarnation().worker().equals(report.life().worker())
+			.filter((other) -> !other.incarnation().equals(claimant))
+			.filter((other) -> other.incarnation().worker().equals(claimant.worker())
 					|| other.report().address().equals(report.address()))
-			.anyMatch((other) -> nowNanos - other.leaseEndNanos() <= 0);
+			.anyMatch((other) -> holdsLease(other, nowNanos));
+	}
+
+	// A new incarnation lists nothing of before, its reports are counted anew, and no
+	// report of it was followed by the time that the previous one reported.
+	private boolean fresh(WorkerReport report) {
+		return report.running().isEmpty() && report.ended().isEmpty() && report.sequence() <= MAX_FIRST_SEQUENCE
+				&& !this.past.contains(report.life());
+	}
+
+	private static boolean holdsLease(TrackedWorker worker, long nowNanos) {
+		return nowNanos - worker.leaseEndNanos() <= 0;
+	}
+
+	// Whether another incarnation under the identifier may hold a lease of an earlier
+	// leader.
+	private boolean holdsInheritedLease(WorkerIncarnation claimant, Set<WorkerIncarnation> inUse, long nowNanos) {
+		return nowNanos - this.inheritedLeaseEndNanos <= 0 && !this.workers.containsKey(claimant.worker())
+				&& inUse.stream()
+					.anyMatch((other) -> other.worker().equals(claimant.worker()) && !other.equals(claimant));
+	}
+
+	private void addPast(WorkerIncarnation incarnation) {
+		this.past.remove(incarnation);
+		this.past.add(incarnation);
+		if (this.past.size() > MAX_PAST_INCARNATIONS) {
+			this.past.remove(this.past.iterator().next());
+		}
 	}
 
 	private void markDisplaced(WorkerReport newcomer) {
@@ -99,11 +140,19 @@
 	}
 
 	private boolean replaced(WorkerIncarnation incarnation, String address) {
+		return this.workers.values().stream().anyMatch((other) -> replaces(other, incarnation, address));
+	}
+
+	private boolean replacedBySuccessor(TrackedWorker worker) {
 		return this.workers.values()
 			.stream()
-			.anyMatch((other) -> other.report().address().equals(address)
-					&& !other.incarnation().worker().equals(incarnation.worker())
-					&& other.incarnation().bornMillis() > incarnation.bornMillis());
+			.filter(TrackedWorker::successor)
+			.anyMatch((other) -> replaces(other, worker.incarnation(), worker.report().address()));
+	}
+
+	private static boolean replaces(TrackedWorker other, WorkerIncarnation incarnation, String address) {
+		return other.report().address().equals(address) && !other.incarnation().worker().equals(incarnation.worker())
+				&& other.incarnation().bornMillis() > incarnation.bornMillis();
 	}
 
 	/**
@@ -127,14 +176,14 @@
 			return causeIf(nowNanos - this.inheritedLeaseEndNanos > 0, LossCause.INHERITED_LEASE_EXPIRED);
 		}
 		if (!known.incarnation().equals(incarnation)) {
-			return (known.incarnation().bornMillis() > incarnation.bornMillis())
+			return (known.successor() && known.incarnation().bornMillis() > incarnation.bornMillis())
 					? Optional.of(LossCause.NEWER_INCARNATION)
 					: causeIf(nowNanos - this.inheritedLeaseEndNanos > 0, LossCause.INHERITED_LEASE_EXPIRED);
 		}
 		if (nowNanos - known.leaseEndNanos() > 0) {
 			return Optional.of(LossCause.LEASE_EXPIRED);
 		}
-		return causeIf(replaced(incarnation, known.report().address()), LossCause.ADDRESS_REUSED);
+		return causeIf(replacedBySuccessor(known), LossCause.ADDRESS_REUSED);
 	}
 
 	private static Optional<LossCause> causeIf(boolean lost, LossCause cause) {
@@ -151,7 +200,10 @@
 			.stream()
 			.filter((worker) -> nowNanos - worker.leaseEndNanos() > 0 && worker.silentNanos(nowNanos) > this.leaseNanos)
 			.toList());
-		expired.forEach((worker) -> this.workers.remove(worker.incarnation().worker()));
+		expired.forEach((worker) -> {
+			this.workers.remove(worker.incarnation().worker());
+			addPast(worker.incarnation());
+		});
 		return expired;
 	}
 
