--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
@@ -36,6 +36,11 @@
 
 	private final Set<JobId> failedJobs = new HashSet<>();
 
+	/**
+	 * Whether it began as a new process, so that the one whose place it took has ended.
+	 */
+	private final boolean successor;
+
 	private WorkerReport report;
 
 	private long lastReportNanos;
@@ -52,8 +57,9 @@
 
 	private long highestListedEnd;
 
-	TrackedWorker(WorkerReport report, long nowNanos, long leaseEndNanos) {
+	TrackedWorker(WorkerReport report, boolean successor, long nowNanos, long leaseEndNanos) {
 		this.report = report;
+		this.successor = successor;
 		this.leaseEndNanos = leaseEndNanos;
 		this.suspectUntilNanos = nowNanos;
 		accept(report, nowNanos);
@@ -102,6 +108,10 @@
 		listing.ended().forEach((end) -> this.highestListedEnd = Math.max(this.highestListedEnd, end.number()));
 	}
 
+	boolean successor() {
+		return this.successor;
+	}
+
 	/**
 	 * Returns whether the latest report lists a run as running.
 	 * @param task the task
