Form no second cluster from machines that were added

What callers would see: two leaders, each with a lease of its own cluster, that take jobs, hand out starts and acknowledge ends side by side. A worker that moves from one to the other has its ended tasks started again.

Cause: a replica without a log that starts other than for the first time forms a cluster after 5 s in which no leader reached it, together with the instances that its settings name. This is meant for founders that were killed before there was a log, but holds for any instance:

- Machines that are added while they are cut off, and whose processes start again with exchanged seeds, form a cluster when the seeds of the first of them name three of these machines and the others announce themselves to it.
- A machine whose seeds name only itself forms one alone.
- An announcement counted for ever.
A founder that lost its disk and is cut off from the leader counted others that lost theirs at other times and had joined again.
- Announcements of replicas that belong to a cluster, which they make when they lose contact with its leader, counted as announcements of empty disks.

Change: each data folder records whether the settings named the instance when the folder was first used, and only such instances form a cluster or say that they are ready. The settings of an added machine can't name it at its first start, as the list of seeds lags. Each ready replica names only the first of its own initial members, so that it supports one former. Readiness ends 2 s after the last announcement, and an announcement that names a cluster, or a message to another incarnation, forbids formation also at the first start.

What is provable when a cluster is formed: none of the instances in it has a log, each was named at its first start, and each supports this former. At the first start all have the same seeds, so the only former is the first of them, and it has formed none. Later the same holds unless all three seeds lost their disks; then the wait of 5 s is all there is, as before.

--- a/control/src/main/java/io/verbenatrack/control/driver/Replica.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/Replica.java
@@ -13,6 +13,7 @@
 
 import io.verbenatrack.control.ProposalOutcome;
 import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.control.ReplicaPeer;
 import io.verbenatrack.control.ReplicaSettings;
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.control.StateMachine;
@@ -21,6 +22,7 @@
 import io.verbenatrack.control.replica.ReplicaConfiguration;
 import io.verbenatrack.control.replica.ReplicaCore;
 import io.verbenatrack.control.replica.ReplicaEvent;
+import io.verbenatrack.control.storage.FirstStart;
 import io.verbenatrack.control.storage.LogFolder;
 import io.verbenatrack.control.storage.ReplicaIdentity;
 import io.verbenatrack.control.storage.SnapshotFolder;
@@ -53,6 +55,8 @@
 
 	private final ReplicaId self;
 
+	private final boolean namedAtFirstStart;
+
 	private final ProtocolDuty protocolDuty;
 
 	private final ApplyDuty applyDuty;
@@ -69,6 +73,8 @@
 		ReplicaIdentity identity = this.closer
 			.register(ReplicaIdentity.open(settings.dataFolder(), settings.self().instance()));
 		this.self = identity.replica();
+		this.namedAtFirstStart = FirstStart.named(settings.dataFolder(),
+				settings.replicas().stream().map(ReplicaPeer::instance).anyMatch(settings.self().instance()::equals));
 		SnapshotFolder snapshots = new SnapshotFolder(settings.dataFolder());
 		LogFolder.Opened openedLog = LogFolder.open(settings.dataFolder(), snapshots.latest());
 		DiskDuty diskDuty = this.closer.register(new DiskDuty(settings.dataFolder(), snapshots, openedLog.log(),
@@ -108,7 +114,7 @@
 		ReplicaConfiguration configuration = new ReplicaConfiguration(settings.clusterName(),
 				settings.self().member(this.self.incarnation()),
 				settings.replicas().stream().map((peer) -> peer.member("")).toList(), settings.timings(),
-				settings.limits(), settings.membershipPolicy());
+				settings.limits(), settings.membershipPolicy(), this.namedAtFirstStart);
 		long seed = ThreadLocalRandom.current().nextLong();
 		return new ReplicaCore(configuration, recovered, new SplittableRandom(seed), this.clock.read());
 	}
--- a/control/src/main/java/io/verbenatrack/control/replica/ClusterFormation.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ClusterFormation.java
@@ -19,10 +19,19 @@
  *
  * <p>
  * The initial member with the lowest instance name writes the first membership once every
- * other initial member has announced that its disk is empty and that it has received the
- * announcement of this incarnation. An initial member that loses its disk later therefore
- * cannot form a second cluster. A replica that no leader contacts any more, because it
- * was replaced while it was away, also announces itself, so that it rejoins as a learner.
+ * other initial member has announced recently that its disk is empty and that it has
+ * received the announcement of this incarnation. An initial member that loses its disk
+ * later therefore cannot form a second cluster.
+ *
+ * <p>
+ * Settings may change before a replica joins, until those of several new instances name
+ * only one another. So only instances that were named at their first start take part: the
+ * settings of an instance that is added later cannot name it yet then. Each of them
+ * supports only the first of the initial members that it knows.
+ *
+ * <p>
+ * A replica that no leader contacts any more, because it was replaced while it was away,
+ * also announces itself, so that it rejoins as a learner.
  */
 final class ClusterFormation {
 
@@ -40,12 +49,21 @@
 	 */
 	private static final Duration LEADER_CONTACT_TIMEOUT = Duration.ofSeconds(3);
 
+	/**
+	 * Several announcements. A member that has joined a cluster announces itself no more,
+	 * or as a member of that cluster.
+	 */
+	private static final Duration READINESS_TIMEOUT = Duration.ofSeconds(2);
+
 	private final ReplicaState state;
 
 	private final Map<String, ReplicaMember> announcedMembers = new TreeMap<>();
 
 	private final Map<String, ReplicaMember> readyMembers = new TreeMap<>();
 
+	/** When each ready member announced itself last. */
+	private final Map<String, Long> readyNanos = new TreeMap<>();
+
 	private long lastAnnouncedNanos;
 
 	private final GrantedTime started;
@@ -53,7 +71,7 @@
 	private boolean existingClusterSeen;
 
 	/** A replica of the existing cluster, which knows its leader. */
-	private Optional<ReplicaMember> misaddressedSender = Optional.empty();
+	private Optional<ReplicaMember> existingMember = Optional.empty();
 
 	private boolean announced;
 
@@ -94,7 +112,7 @@
 	// none that is left.
 	private Collection<ReplicaMember> receivers() {
 		Map<String, ReplicaMember> receivers = new TreeMap<>();
-		this.misaddressedSender.ifPresent((sender) -> receivers.put(sender.getInstance(), sender));
+		this.existingMember.ifPresent((sender) -> receivers.put(sender.getInstance(), sender));
 		this.state.configuration.initialMembers().forEach((member) -> receivers.put(member.getInstance(), member));
 		this.state.membership().getVotersList().forEach((member) -> receivers.put(member.getInstance(), member));
 		return receivers.values();
@@ -104,7 +122,7 @@
 		this.announced = true;
 		this.lastAnnouncedNanos = this.state.nowNanos;
 		Announcement.Builder announcement = Announcement.newBuilder().setMember(this.state.configuration.self());
-		this.announcedMembers.values().forEach((member) -> announcement.addHeard(ReplicaId.of(member).text()));
+		supportedMember().ifPresent((member) -> announcement.addHeard(ReplicaId.of(member).text()));
 		for (ReplicaMember receiver : receivers()) {
 			if (!isSelf(receiver)) {
 				ReplicaMember byName = receiver.toBuilder().clearIncarnation().build();
@@ -113,6 +131,21 @@
 		}
 	}
 
+	// The initial member that may form a cluster with this replica.
+	private Optional<ReplicaMember> supportedMember() {
+		boolean mayTakePart = this.state.role == ReplicaRole.UNFORMED && this.state.configuration.namedAtFirstStart();
+		return mayTakePart ? Optional.ofNullable(this.announcedMembers.get(firstInitialMember())) : Optional.empty();
+	}
+
+	private String firstInitialMember() {
+		return this.state.configuration.initialMembers()
+			.stream()
+			.map(ReplicaMember::getInstance)
+			.sorted()
+			.findFirst()
+			.orElse("");
+	}
+
 	private boolean isSelf(ReplicaMember member) {
 		return member.getInstance().equals(this.state.configuration.self().getInstance());
 	}
@@ -121,47 +154,57 @@
 		if (this.state.role != ReplicaRole.UNFORMED || this.forming) {
 			return;
 		}
+		if (!message.getCluster().isEmpty()) {
+			handleExistingCluster(message);
+			return;
+		}
 		ReplicaMember member = message.getAnnouncement().getMember();
 		this.announcedMembers.put(member.getInstance(), member);
+		this.readyMembers.remove(member.getInstance());
 		if (message.getAnnouncement().getHeardList().contains(this.state.self.text())) {
 			this.readyMembers.put(member.getInstance(), member);
+			this.readyNanos.put(member.getInstance(), this.state.nowNanos);
 		}
 		formWhenReady();
 	}
 
 	private void formWhenReady() {
-		var initialMembers = this.state.configuration.initialMembers();
-		String first = initialMembers.stream().map(ReplicaMember::getInstance).sorted().findFirst().orElse("");
-		if (!mayFormCluster()) {
+		boolean first = firstInitialMember().equals(this.state.configuration.self().getInstance());
+		if (!first || !this.state.configuration.namedAtFirstStart() || !mayFormCluster()) {
 			return;
 		}
-		boolean allReady = initialMembers.stream()
-			.allMatch((member) -> isSelf(member) || this.readyMembers.containsKey(member.getInstance()));
-		if (first.equals(this.state.configuration.self().getInstance()) && allReady) {
+		if (this.state.configuration.initialMembers()
+			.stream()
+			.allMatch((member) -> isSelf(member) || isReady(member))) {
 			form();
 		}
 	}
 
+	private boolean isReady(ReplicaMember member) {
+		return this.readyMembers.containsKey(member.getInstance())
+				&& this.state.nowNanos - this.readyNanos.get(member.getInstance()) < READINESS_TIMEOUT.toNanos();
+	}
+
 	// Initial members that were killed before they formed a cluster look like ones that
 	// lost their disks. If a cluster exists, its leader keeps contacting their earlier
 	// incarnations.
 	private boolean mayFormCluster() {
-		return this.state.configuration.membershipPolicy().mayFormCluster()
-				|| (!this.existingClusterSeen && !this.state.grantedNow.isBefore(this.started.plus(FORMATION_DELAY)));
+		return !this.existingClusterSeen && (this.state.configuration.membershipPolicy().mayFormCluster()
+				|| !this.state.grantedNow.isBefore(this.started.plus(FORMATION_DELAY)));
 	}
 
 	/**
-	 * Records that an existing cluster knows another incarnation of this replica, and
-	 * whom to ask there.
-	 * @param message a message to another incarnation of this replica
+	 * Records that a cluster exists, and whom to ask there.
+	 * @param message an announcement of one of its members, or a message to another
+	 * incarnation of this replica
 	 */
-	void handleMisaddressed(ReplicaMessage message) {
+	void handleExistingCluster(ReplicaMessage message) {
 		if (!message.getCluster().startsWith(this.state.configuration.clusterName() + "-")) {
 			return;
 		}
 		this.existingClusterSeen = true;
 		if (!message.getFromAddress().isEmpty()) {
-			this.misaddressedSender = Optional.of(ReplicaMember.newBuilder()
+			this.existingMember = Optional.of(ReplicaMember.newBuilder()
 				.setInstance(ReplicaId.parse(message.getFrom()).instance().value())
 				.setAddress(message.getFromAddress())
 				.build());
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
@@ -198,7 +198,7 @@
 			return;
 		}
 		if (!message.getTo().equals(this.state.self.text())) {
-			this.formation.handleMisaddressed(message);
+			this.formation.handleExistingCluster(message);
 			return;
 		}
 		if (!acceptCluster(message)) {
--- a/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
+++ b/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
@@ -205,4 +205,34 @@
 		}
 	}
 
+	private Replica startWithInitialMembers(ReplicaPeer... initialMembers) throws IOException {
+		ReplicaSettings settings = new ReplicaSettings("test", SELF, List.of(initialMembers), this.folder);
+		return Replica.start(settings, new AppendingStateMachine(), ReplicaTransport.none(), (notice, detail) -> {
+		}, LeaseClock.exact(MonotonicClock.system()));
+	}
+
+	// Guards against an added instance that forms a second cluster once its changed
+	// settings name it.
+	@Test
+	public void replicaThatIsNamedOnlyLaterFormsNoCluster() throws IOException {
+		startWithInitialMembers(new ReplicaPeer(new InstanceId("two"), "127.0.0.1", 2)).close();
+		try (Replica replica = startWithInitialMembers(SELF)) {
+			await().during(Duration.ofMillis(500))
+				.atMost(Duration.ofSeconds(5))
+				.until(() -> replica.status().membership().getVotersCount() == 0);
+		}
+	}
+
+	// Guards against an initial member that can form no cluster any more since its
+	// settings have changed for a while.
+	@Test
+	public void replicaThatWasNamedAtFirstStartFormsCluster() throws IOException {
+		ReplicaPeer other = new ReplicaPeer(new InstanceId("two"), "127.0.0.1", 2);
+		startWithInitialMembers(SELF, other).close();
+		startWithInitialMembers(other).close();
+		try (Replica replica = startWithInitialMembers(SELF)) {
+			await().atMost(Duration.ofSeconds(10)).until(replica::leads);
+		}
+	}
+
 }
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaCoreTests.java
@@ -276,4 +276,28 @@
 		assertThat(this.core.membership().getVotersCount()).isEqualTo(3);
 	}
 
+	// Guards against a second cluster with a replica that has joined the first one and
+	// announces itself since its leader is away.
+	@Test
+	public void announcementOfMemberOfAnotherClusterPreventsFormation() {
+		start(new MembershipPolicy(3, true, Duration.ofSeconds(8)), RecoveredLog.EMPTY);
+		receive(from("b", 9).setTo("a")
+			.setAnnouncement(Announcement.newBuilder().setMember(member("b")).addHeard("a/1")));
+		receive(ReplicaMessage.newBuilder()
+			.setFrom("c/1")
+			.setTo("a")
+			.setAnnouncement(Announcement.newBuilder().setMember(member("c")).addHeard("a/1")));
+		assertThat(this.core.membership().getVotersCount()).isZero();
+	}
+
+	// Guards against a second cluster with replicas that have joined the first one since
+	// they announced themselves.
+	@Test
+	public void earlierAnnouncementsDoNotCountForFormation() {
+		startFirstInitialMember(false);
+		this.now += 6 * SECOND;
+		run(new ReplicaEvent.Tick());
+		assertThat(this.core.membership().getVotersCount()).isZero();
+	}
+
 }
