Let a replica that never joined use seeds that change later

What callers see: nothing by itself. A control replica whose seeds were all replaced before it joined stayed outside the cluster until it was started again; with it, the cluster has one replica less to replace the next that is lost.

Cause: ControlServer.reload ignored changed settings, and a replica without contact to a leader announces itself to the seeds of its start only.

They do not take part in forming a log: the initial members and the record of the first start stay those of the start. A core that starts again after a disk failure gets them too.

Without the new receivers reloadedSeedsServeToJoinOnly fails (a machine belongs to no cluster).

--- a/control/src/main/java/io/verbenatrack/control/driver/Replica.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/Replica.java
@@ -33,6 +33,7 @@
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
 import io.verbenatrack.protocol.control.Membership;
+import io.verbenatrack.protocol.control.ReplicaMember;
 import io.verbenatrack.protocol.control.ReplicaMessage;
 
 /**
@@ -45,6 +46,8 @@
 
 	private static final long HAND_OVER_POLL_INTERVAL_NANOS = Duration.ofMillis(5).toNanos();
 
+	private static final long SEEDS_RETRY_INTERVAL_NANOS = Duration.ofMillis(5).toNanos();
+
 	private final Closer closer;
 
 	private final PendingRequests pendingRequests = new PendingRequests();
@@ -63,6 +66,8 @@
 
 	private volatile List<DutyThread> threads = List.of();
 
+	private volatile List<ReplicaMember> seeds = List.of();
+
 	private volatile boolean halted;
 
 	private Replica(ReplicaSettings settings, StateMachine stateMachine, ReplicaTransport transport,
@@ -116,7 +121,9 @@
 				settings.replicas().stream().map((peer) -> peer.member("")).toList(), settings.timings(),
 				settings.limits(), settings.membershipPolicy(), this.namedAtFirstStart);
 		long seed = ThreadLocalRandom.current().nextLong();
-		return new ReplicaCore(configuration, recovered, new SplittableRandom(seed), this.clock.read());
+		ReplicaCore core = new ReplicaCore(configuration, recovered, new SplittableRandom(seed), this.clock.read());
+		core.handle(this.clock.read(), new ReplicaEvent.SeedsChanged(this.seeds));
+		return core;
 	}
 
 	private void startThreads(DiskDuty diskDuty) {
@@ -189,6 +196,19 @@
 		this.queues.post(new ProtocolTask.Handle(new ReplicaEvent.Received(message)));
 	}
 
+	/**
+	 * Sets the instances that the settings name now, which this replica asks to join a
+	 * cluster if no leader contacts it. They do not change which instances form one.
+	 * @param changed the instances
+	 */
+	public void useSeeds(List<ReplicaPeer> changed) {
+		this.seeds = changed.stream().map((peer) -> peer.member("")).toList();
+		ReplicaEvent event = new ReplicaEvent.SeedsChanged(this.seeds);
+		while (!this.halted && !this.queues.post(new ProtocolTask.Handle(event))) {
+			LockSupport.parkNanos(SEEDS_RETRY_INTERVAL_NANOS);
+		}
+	}
+
 	@Override
 	public Optional<InstanceId> leader() {
 		return status().leader();
--- a/control/src/main/java/io/verbenatrack/control/replica/ClusterFormation.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ClusterFormation.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -64,6 +65,9 @@
 	/** When each ready member announced itself last. */
 	private final Map<String, Long> readyNanos = new TreeMap<>();
 
+	/** Further instances to announce this replica to. */
+	private List<ReplicaMember> seeds = List.of();
+
 	private long lastAnnouncedNanos;
 
 	private final GrantedTime started;
@@ -114,10 +118,20 @@
 		Map<String, ReplicaMember> receivers = new TreeMap<>();
 		this.existingMember.ifPresent((sender) -> receivers.put(sender.getInstance(), sender));
 		this.state.configuration.initialMembers().forEach((member) -> receivers.put(member.getInstance(), member));
+		this.seeds.forEach((member) -> receivers.put(member.getInstance(), member));
 		this.state.membership().getVotersList().forEach((member) -> receivers.put(member.getInstance(), member));
 		return receivers.values();
 	}
 
+	/**
+	 * Sets the instances that the settings name now. They help to join a cluster, not to
+	 * form one.
+	 * @param changed the instances
+	 */
+	void useSeeds(List<ReplicaMember> changed) {
+		this.seeds = changed;
+	}
+
 	private void announce() {
 		this.announced = true;
 		this.lastAnnouncedNanos = this.state.nowNanos;
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaCore.java
@@ -69,13 +69,14 @@
 	public void handle(ClockReading now, ReplicaEvent event) {
 		this.state.advanceClock(now);
 		if (this.state.role == ReplicaRole.FAULTED) {
-			refuseWhileFaulted(event);
+			handleWhileFaulted(event);
 			return;
 		}
 		switch (event) {
 			case ReplicaEvent.Tick tick -> {
 			}
 			case ReplicaEvent.Received received -> receive(received.message());
+			case ReplicaEvent.SeedsChanged changed -> this.formation.useSeeds(changed.seeds());
 			case ReplicaEvent.Synced synced -> synced(synced.ticket());
 			case ReplicaEvent.DiskFailed failed -> diskFailed();
 			case ReplicaEvent.Proposed proposed -> this.leadership.propose(proposed.token(), proposed.command());
@@ -91,8 +92,9 @@
 		}
 	}
 
-	private void refuseWhileFaulted(ReplicaEvent event) {
+	private void handleWhileFaulted(ReplicaEvent event) {
 		switch (event) {
+			case ReplicaEvent.SeedsChanged changed -> this.formation.useSeeds(changed.seeds());
 			case ReplicaEvent.Proposed proposed ->
 				this.state.effects.add(new ReplicaEffect.NotLeader(proposed.token(), Optional.empty()));
 			case ReplicaEvent.ConfirmationRequested requested ->
--- a/control/src/main/java/io/verbenatrack/control/replica/ReplicaEvent.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/ReplicaEvent.java
@@ -1,8 +1,11 @@
 package io.verbenatrack.control.replica;
 
+import java.util.List;
+
 import com.google.protobuf.ByteString;
 
 import io.verbenatrack.protocol.control.Membership;
+import io.verbenatrack.protocol.control.ReplicaMember;
 import io.verbenatrack.protocol.control.ReplicaMessage;
 import io.verbenatrack.protocol.control.SnapshotHeader;
 
@@ -25,6 +28,19 @@
 
 	}
 
+	/**
+	 * The settings name other instances to join, without effect on the initial members.
+	 *
+	 * @param seeds the instances, without incarnations
+	 */
+	record SeedsChanged(List<ReplicaMember> seeds) implements ReplicaEvent {
+
+		public SeedsChanged {
+			seeds = List.copyOf(seeds);
+		}
+
+	}
+
 	/**
 	 * All records up to a ticket are durable.
 	 *
--- a/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
+++ b/control/src/test/java/io/verbenatrack/control/link/GrpcReplicaTests.java
@@ -151,6 +151,20 @@
 		await().atMost(TIMEOUT).until(() -> joining.machine.text().equals("before "));
 	}
 
+	// Guards against a replica that has to be started again to join, since the instances
+	// that its settings named at its start are gone.
+	@Test
+	public void replicaJoinsThroughSeedThatIsNamedLater() throws Exception {
+		Node leader = leader();
+		propose(leader, "before");
+		ReplicaPeer gone = new ReplicaPeer(new InstanceId("r4"), "127.0.0.1", freePort());
+		ReplicaPeer newcomer = new ReplicaPeer(new InstanceId("r3"), "127.0.0.1", freePort());
+		Node joining = Node.start(newcomer, List.of(gone), Files.createTempDirectory("replica3"));
+		this.nodes.add(joining);
+		joining.replica.replica().useSeeds(List.of(this.peers.get((leader.index + 1) % 3)));
+		await().atMost(TIMEOUT).until(() -> joining.machine.text().equals("before "));
+	}
+
 	@Test
 	public void instanceWithoutReplicaRenewsConfigurationLease() {
 		ConfigurationLease lease = new ConfigurationLease(LeaseClock.exact(MonotonicClock.system()),
--- a/control/src/test/java/io/verbenatrack/control/replica/ClusterFormationTests.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ClusterFormationTests.java
@@ -230,4 +230,28 @@
 		assertThat(group.voters()).containsExactly("b/1", "c/1", "d/1");
 	}
 
+	// Guards against reloaded seeds that let new machines form a cluster beside the
+	// first, and
+	// against new machines that need a restart to join.
+	@Test
+	public void reloadedSeedsServeToJoinOnly() {
+		ReplicaGroup group = formedByThree();
+		group.cut("def", "abc");
+		for (String name : new String[] { "d", "e", "f" }) {
+			group.start(name, "g", "h", "i");
+			group.reload(name, "d", "e", "f");
+		}
+		group.run(LONG);
+		assertThat(group.formed()).hasSize(1);
+		group.heal();
+		for (String name : new String[] { "d", "e", "f" }) {
+			group.reload(name, "a", "e", "f");
+		}
+		group.run(LONG);
+		assertThat(group.formed()).hasSize(1);
+		assertThat(group.clusterOf("d")).isEqualTo(group.clusterOf("a"));
+		assertThat(group.clusterOf("e")).isEqualTo(group.clusterOf("a"));
+		assertThat(group.clusterOf("f")).isEqualTo(group.clusterOf("a"));
+	}
+
 }
--- a/control/src/test/java/io/verbenatrack/control/replica/ReplicaGroup.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/ReplicaGroup.java
@@ -114,6 +114,19 @@
 		machine(name).start(false, List.of(seeds));
 	}
 
+	/**
+	 * Changes the settings of a process that runs.
+	 * @param name the machine
+	 * @param seeds the machines that its settings name now
+	 */
+	void reload(String name, String... seeds) {
+		machine(name).handle(new ReplicaEvent.SeedsChanged(List.of(seeds).stream().map(ReplicaGroup::member).toList()));
+	}
+
+	private static ReplicaMember member(String instance) {
+		return ReplicaMember.newBuilder().setInstance(instance).setAddress(instance + ":1").build();
+	}
+
 	void kill(String... names) {
 		for (String name : names) {
 			machine(name).core = null;
@@ -222,8 +235,10 @@
 			if (this.namedAtFirstStart.isEmpty()) {
 				this.namedAtFirstStart = Optional.of(seeds.contains(this.name));
 			}
-			List<ReplicaMember> initialMembers = seeds.stream().map((seed) -> member(seed).build()).toList();
-			ReplicaMember self = member(this.name).setIncarnation(Integer.toString(this.incarnation)).build();
+			List<ReplicaMember> initialMembers = seeds.stream().map(ReplicaGroup::member).toList();
+			ReplicaMember self = member(this.name).toBuilder()
+				.setIncarnation(Integer.toString(this.incarnation))
+				.build();
 			this.core = new ReplicaCore(new ReplicaConfiguration(CLUSTER_NAME, self, initialMembers,
 					ReplicaTimings.DEFAULT, ReplicaLimits.DEFAULT,
 					new MembershipPolicy(ReplicaGroup.this.targetVoters, mayFormCluster, REPLACE_AFTER),
@@ -231,10 +246,6 @@
 			handle(new ReplicaEvent.Tick());
 		}
 
-		private ReplicaMember.Builder member(String instance) {
-			return ReplicaMember.newBuilder().setInstance(instance).setAddress(instance + ":1");
-		}
-
 		private RecoveredLog recovered() {
 			LogRecovery recovery = new LogRecovery(SnapshotHeader.getDefaultInstance());
 			this.disk.forEach(recovery::accept);
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
@@ -8,6 +8,7 @@
 
 import com.google.protobuf.ByteString;
 
+import io.verbenatrack.control.ReplicaPeer;
 import io.verbenatrack.control.ReplicaSettings;
 import io.verbenatrack.control.configuration.ConfigurationAuthority;
 import io.verbenatrack.control.driver.LoggingReplicaListener;
@@ -97,6 +98,15 @@
 		return this.replica.replica().leader();
 	}
 
+	/**
+	 * Sets the replicas that the settings name now, which help this one to join a
+	 * cluster.
+	 * @param seeds the replicas
+	 */
+	public void useSeeds(List<ReplicaPeer> seeds) {
+		this.replica.replica().useSeeds(seeds);
+	}
+
 	/**
 	 * Hands over leadership and stops the replica.
 	 */
