--- a/control/src/main/java/io/verbenatrack/control/driver/Replica.java
+++ b/control/src/main/java/io/verbenatrack/control/driver/Replica.java
@@ -13,6 +13,7 @@
 
 import io.verbenatrack.control.ProposalOutcome;
 import io.verbenatrack.control.ReplicaId;
+import io.verbenatrack.control.ReplicaPeer;
 import io.verbenatrack.control.ReplicaSettings;
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.control.StateMachine;
@@ -21,6 +22,7 @@
 import io.verbenatrack.control.replica.ReplicaConfiguration;
 import io.verbenatrack.control.replica.ReplicaCore;
 import io.verbenatrack.control.replica.ReplicaEvent;
+import io.verbenatrack.control.storage.FirstStart;
 import io.verbenatrack.control.storage.LogFolder;
 import io.verbenatrack.control.storage.ReplicaIdentity;
 import io.verbenatrack.control.storage.SnapshotFolder;
@@ -31,6 +33,7 @@
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
 import io.verbenatrack.protocol.control.Membership;
+import io.verbenatrack.protocol.control.ReplicaMember;
 import io.verbenatrack.protocol.control.ReplicaMessage;
 
 /**
@@ -43,6 +46,8 @@
 
 	private static final long HAND_OVER_POLL_INTERVAL_NANOS = Duration.ofMillis(5).toNanos();
 
+	private static final long SEEDS_RETRY_INTERVAL_NANOS = Duration.ofMillis(5).toNanos();
+
 	private final Closer closer;
 
 	private final PendingRequests pendingRequests = new PendingRequests();
@@ -53,12 +58,16 @@
 
 	private final ReplicaId self;
 
+	private final boolean namedAtFirstStart;
+
 	private final ProtocolDuty protocolDuty;
 
 	private final ApplyDuty applyDuty;
 
 	private volatile List<DutyThread> threads = List.of();
 
+	private volatile List<ReplicaMember> seeds = List.of();
+
 	private volatile boolean halted;
 
 	private Replica(ReplicaSettings settings, StateMachine stateMachine, ReplicaTransport transport,
@@ -69,6 +78,8 @@
 		ReplicaIdentity identity = this.closer
 			.register(ReplicaIdentity.open(settings.dataFolder(), settings.self().instance()));
 		this.self = identity.replica();
+		this.namedAtFirstStart = FirstStart.named(settings.dataFolder(),
+				settings.replicas().stream().map(ReplicaPeer::instance).anyMatch(settings.self().instance()::equals));
 		SnapshotFolder snapshots = new SnapshotFolder(settings.dataFolder());
 		LogFolder.Opened openedLog = LogFolder.open(settings.dataFolder(), snapshots.latest());
 		DiskDuty diskDuty = this.closer.register(new DiskDuty(settings.dataFolder(), snapshots, openedLog.log(),
@@ -108,9 +119,11 @@
 		ReplicaConfiguration configuration = new ReplicaConfiguration(settings.clusterName(),
 				settings.self().member(this.self.incarnation()),
 				settings.replicas().stream().map((peer) -> peer.member("")).toList(), settings.timings(),
-				settings.limits(), settings.membershipPolicy());
+				settings.limits(), settings.membershipPolicy(), this.namedAtFirstStart);
 		long seed = ThreadLocalRandom.current().nextLong();
-		return new ReplicaCore(configuration, recovered, new SplittableRandom(seed), this.clock.read());
+		ReplicaCore core = new ReplicaCore(configuration, recovered, new SplittableRandom(seed), this.clock.read());
+		core.handle(this.clock.read(), new ReplicaEvent.SeedsChanged(this.seeds));
+		return core;
 	}
 
 	private void startThreads(DiskDuty diskDuty) {
@@ -183,6 +196,19 @@
 		this.queues.post(new ProtocolTask.Handle(new ReplicaEvent.Received(message)));
 	}
 
+	/**
+	 * Sets the instances that the settings name now, which this replica asks to join a
+	 * cluster if no leader contacts it. They do not change which instances form one.
+	 * @param changed the instances
+	 */
+	public void useSeeds(List<ReplicaPeer> changed) {
+		this.seeds = changed.stream().map((peer) -> peer.member("")).toList();
+		ReplicaEvent event = new ReplicaEvent.SeedsChanged(this.seeds);
+		while (!this.halted && !this.queues.post(new ProtocolTask.Handle(event))) {
+			LockSupport.parkNanos(SEEDS_RETRY_INTERVAL_NANOS);
+		}
+	}
+
 	@Override
 	public Optional<InstanceId> leader() {
 		return status().leader();
