Wait for a configuration before the test of an unknown key

unknownKeyIsRefusedWithARemedy got 503 in place of 400 once, in a run of all tests of server. It waits for a configuration now, as the test beside it does. What it asserts is unchanged, and asked for once.

--- a/server/src/test/java/io/verbenatrack/server/InstanceTests.java
+++ b/server/src/test/java/io/verbenatrack/server/InstanceTests.java
@@ -86,6 +86,8 @@
 
 	@Test
 	public void unknownKeyIsRefusedWithARemedy() throws Exception {
+		// Without a configuration the instance answers 503 before it reads a body.
+		Awaitility.await().atMost(AWAIT_TIMEOUT).until(() -> declareAccount() == 200);
 		ContentResponse answer = post("/v1/jobs", "{\"idd\": \"j\"}");
 		assertThat(answer.getStatus()).isEqualTo(400);
 		assertThat(answer.getContentAsString()).contains("idd").contains("remedy");
