Play the control log while its machines are replaced for good

Change: MachineSchedule draws such steps from a seed, beside cuts, pauses, restarts, slow disks and lost messages, on the product's ReplicaCore. A loss comes as soon as the deployment bears it: f of 2f+1 disks, counted with voters removed for good, while the membership is complete and committed.

--- a/bench/src/main/java/io/verbenatrack/bench/control/ReplicaClient.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/ReplicaClient.java
@@ -1,6 +1,7 @@
 package io.verbenatrack.bench.control;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -87,7 +88,8 @@
 			this.currentIndex = Integer.parseInt(notLeader.leader().get().value().substring(1));
 			return;
 		}
-		this.currentIndex = this.random.nextInt(this.cluster.replicas().size());
+		List<SimulatedReplica> present = this.cluster.present();
+		this.currentIndex = this.cluster.replicas().indexOf(present.get(this.random.nextInt(present.size())));
 	}
 
 	private static final class PendingReply<T> {
--- a/bench/src/main/java/io/verbenatrack/bench/control/Schedule.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/Schedule.java
@@ -31,6 +31,8 @@
 
 	private final long seed;
 
+	private final long faultPhaseNanos;
+
 	private final SplittableRandom random;
 
 	private final SimulatedCluster cluster;
@@ -48,7 +50,18 @@
 	private final TreeMap<Long, Long> inForceNanos = new TreeMap<>();
 
 	Schedule(long seed, ScheduleSize shape) {
+		this(seed, shape, FAULT_PHASE_NANOS);
+	}
+
+	/**
+	 * Creates a schedule.
+	 * @param seed its seed
+	 * @param shape its size
+	 * @param faultPhaseNanos the time in which there are faults, in nanoseconds
+	 */
+	Schedule(long seed, ScheduleSize shape, long faultPhaseNanos) {
 		this.seed = seed;
+		this.faultPhaseNanos = faultPhaseNanos;
 		this.random = new SplittableRandom(seed);
 		this.cluster = new SimulatedCluster(shape.replicas(), shape.entriesBetweenSnapshots(), this.random.split());
 		this.faults = new FaultInjector(this.cluster, this.random.split());
@@ -73,23 +86,31 @@
 		for (FaultPlan.FaultGroup group : plan.groups()) {
 			this.cluster.clock().schedule(group.startNanos(), () -> group.faults().forEach(this::inject));
 		}
-		runUntil(SETTLE_NANOS + FAULT_PHASE_NANOS);
+		runUntil(faultsEndNanos());
 		return finish();
 	}
 
+	long faultsEndNanos() {
+		return SETTLE_NANOS + this.faultPhaseNanos;
+	}
+
 	void start() {
 		this.cluster.start();
 		this.instances.forEach(SimulatedInstance::start);
-		long end = SETTLE_NANOS + FAULT_PHASE_NANOS + RECOVERY_NANOS / 2;
+		long end = faultsEndNanos() + RECOVERY_NANOS / 2;
 		this.configuration.start(3, end, this.random.split());
 		this.claims.start(4, end, this.random.split());
 		checkInForce();
 	}
 
 	ScheduleResult finish() {
+		long committedBefore = this.cluster.monitor().committedEntries();
 		this.cluster.heal();
 		this.instances.forEach((instance) -> instance.isolated(false));
 		runUntil(this.cluster.clock().nowNanos() + RECOVERY_NANOS);
+		if (this.cluster.monitor().committedEntries() <= committedBefore) {
+			this.cluster.monitor().recordViolation("nothing was committed after all faults were healed");
+		}
 		requireProgress();
 		return result();
 	}
@@ -149,7 +170,7 @@
 			return;
 		}
 		long leaderCommitIndex = this.cluster.leader().get().core().commitIndex();
-		for (SimulatedReplica replica : this.cluster.replicas()) {
+		for (SimulatedReplica replica : this.cluster.present()) {
 			if (replica.core().commitIndex() < leaderCommitIndex - this.cluster.limits().unacknowledgedEntries()
 					|| replica.core().term() != this.cluster.leader().get().core().term()) {
 				this.cluster.monitor().recordViolation(replica.id() + " has not caught up with the leader");
--- a/bench/src/main/java/io/verbenatrack/bench/control/ScheduleSize.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/ScheduleSize.java
@@ -22,4 +22,10 @@
 	 */
 	static final ScheduleSize SIX_REPLICAS = new ScheduleSize(6, 3, 6, 12, Duration.ofMillis(250));
 
+	/** Three replicas that are replaced while the schedule runs. */
+	static final ScheduleSize THREE_REPLACED = new ScheduleSize(3, 3, 12, 12, Duration.ofMillis(400));
+
+	/** Five voters, of which the first three form the cluster, that are replaced. */
+	static final ScheduleSize FIVE_REPLACED = new ScheduleSize(5, 3, 12, 12, Duration.ofMillis(400));
+
 }
--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedCluster.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedCluster.java
@@ -51,7 +51,10 @@
 
 	private final MembershipPolicy membershipPolicy;
 
+	private final SplittableRandom random;
+
 	SimulatedCluster(int size, int entriesBetweenSnapshots, SplittableRandom random) {
+		this.random = random;
 		this.network = new SimulatedNetwork(this.clock, random.split());
 		ReplicaLimits defaults = ReplicaLimits.DEFAULT;
 		LogLimits log = new LogLimits(entriesBetweenSnapshots, LOG_BYTES, Math.max(1, entriesBetweenSnapshots / 4),
@@ -61,13 +64,54 @@
 				CHUNK_BYTES, defaults.maximumReplicas());
 		List<ReplicaPeer> peers = new ArrayList<>();
 		for (int i = 0; i < size; i++) {
-			peers.add(new ReplicaPeer(new InstanceId("r" + i), "127.0.0.1", FIRST_PORT + i));
+			peers.add(peer(i));
 		}
 		peers.subList(0, Math.min(FOUNDING_REPLICAS, size)).forEach((peer) -> this.founders.add(peer.member("")));
 		this.membershipPolicy = new MembershipPolicy((size % 2 == 0) ? size - 1 : size, true, REPLACEMENT_DELAY);
 		peers.forEach((peer) -> this.replicas.add(new SimulatedReplica(this, peer, random.split())));
 	}
 
+	private static ReplicaPeer peer(int number) {
+		return new ReplicaPeer(new InstanceId("r" + number), "127.0.0.1", FIRST_PORT + number);
+	}
+
+	/**
+	 * Adds a machine with an empty disk at an address of its own. It is not started.
+	 * @return the machine
+	 */
+	SimulatedReplica add() {
+		SimulatedReplica added = new SimulatedReplica(this, peer(this.replicas.size()), this.random.split());
+		this.replicas.add(added);
+		return added;
+	}
+
+	/**
+	 * Returns the machines that were not removed for good.
+	 * @return the machines
+	 */
+	List<SimulatedReplica> present() {
+		return this.replicas.stream().filter((replica) -> !replica.retired()).toList();
+	}
+
+	/**
+	 * Returns how many more voters may lose their disks or be removed for good now: f of
+	 * 2 f + 1, less those lost that are still voters.
+	 * @return the number, 0 while the membership is not complete and committed
+	 */
+	int bearableLosses() {
+		int failures = this.membershipPolicy.targetVoters() / 2;
+		return leader().map((leader) -> leader.core().membership())
+			.filter((membership) -> membership.getVotersCount() == this.membershipPolicy.targetVoters())
+			.filter((membership) -> membership.equals(this.monitor.committedMembership()))
+			.map((membership) -> failures - (int) membership.getVotersList().stream().filter(this::lost).count())
+			.orElse(0);
+	}
+
+	private boolean lost(ReplicaMember voter) {
+		SimulatedReplica replica = replica(voter.getInstance());
+		return replica.retired() || !voter.getIncarnation().equals(replica.disk().incarnation());
+	}
+
 	void start() {
 		this.replicas.forEach(SimulatedReplica::start);
 	}
@@ -107,7 +151,7 @@
 
 	void heal() {
 		this.network.heal();
-		for (SimulatedReplica replica : this.replicas) {
+		for (SimulatedReplica replica : present()) {
 			replica.disk().full(false);
 			replica.disk().extraSyncNanos(0);
 			replica.clocks().rate(1);
--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedInstance.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedInstance.java
@@ -1,6 +1,7 @@
 package io.verbenatrack.bench.control;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -82,11 +83,16 @@
 		}
 		this.cluster.clock().schedule(RETRY_NANOS, () -> {
 			boolean renewed = this.renewedNanos >= sentNanos;
-			int next = renewed ? replicaIndex : this.random.nextInt(this.cluster.replicas().size());
+			int next = renewed ? replicaIndex : randomReplica();
 			this.cluster.clock().schedule(renewed ? INTERVAL_NANOS - RETRY_NANOS : 0, () -> requestLease(next));
 		});
 	}
 
+	private int randomReplica() {
+		List<SimulatedReplica> present = this.cluster.present();
+		return this.cluster.replicas().indexOf(present.get(this.random.nextInt(present.size())));
+	}
+
 	private void answer(SimulatedReplica replica, long sentNanos) {
 		if (!replica.alive() || replica.paused()) {
 			return;
--- a/bench/src/main/java/io/verbenatrack/bench/control/SimulatedReplica.java
+++ b/bench/src/main/java/io/verbenatrack/bench/control/SimulatedReplica.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -11,6 +12,7 @@
 
 import com.google.protobuf.ByteString;
 
+import io.verbenatrack.control.MembershipPolicy;
 import io.verbenatrack.control.ProposalOutcome;
 import io.verbenatrack.control.ReplicaId;
 import io.verbenatrack.control.ReplicaPeer;
@@ -23,6 +25,7 @@
 import io.verbenatrack.control.replica.SnapshotSchedule;
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.LeaseClock;
+import io.verbenatrack.protocol.control.ReplicaMember;
 import io.verbenatrack.protocol.control.SnapshotHeader;
 
 /**
@@ -67,6 +70,16 @@
 
 	private boolean alive;
 
+	private boolean retired;
+
+	/** The instances that the settings of the process name. */
+	private List<ReplicaMember> seeds;
+
+	/** The settings that the process reads when it starts next. */
+	private List<ReplicaMember> nextSeeds;
+
+	private boolean mayFormCluster = true;
+
 	private long pausedUntilNanos;
 
 	private int incarnations;
@@ -81,6 +94,7 @@
 		this.cluster = cluster;
 		this.peer = peer;
 		this.random = random;
+		this.nextSeeds = cluster.founders();
 		this.clocks = new SimulatedMachineClocks(cluster.clock()::nowNanos);
 		this.leaseClock = random.nextBoolean() ? LeaseClock.exact(this.clocks::bootNanos)
 				: LeaseClock.estimated(this.clocks::monotonicNanos, this.clocks::wallClock);
@@ -112,6 +126,38 @@
 		return this.alive;
 	}
 
+	/**
+	 * Sets the settings that the process reads when it starts next: a running process
+	 * ignores changed seeds.
+	 * @param members the instances that they name, without incarnations
+	 */
+	void joinWith(List<ReplicaMember> members) {
+		this.nextSeeds = List.copyOf(members);
+		this.mayFormCluster = false;
+	}
+
+	ReplicaMember address() {
+		return this.peer.member("");
+	}
+
+	/** Removes the machine for good: it never starts again. */
+	void retire() {
+		crash();
+		this.retired = true;
+	}
+
+	boolean retired() {
+		return this.retired;
+	}
+
+	/**
+	 * Returns whether this machine belongs to a cluster.
+	 * @return whether it has formed or joined one
+	 */
+	boolean joined() {
+		return this.alive && this.core.role() != ReplicaRole.UNFORMED;
+	}
+
 	SimulatedStateMachine machine() {
 		return this.machine;
 	}
@@ -121,7 +167,11 @@
 	}
 
 	void start() {
+		if (this.retired) {
+			return;
+		}
 		this.alive = true;
+		this.seeds = this.nextSeeds;
 		this.machine = new SimulatedStateMachine();
 		this.appliedIndex = 0;
 		this.snapshotSchedule = new SnapshotSchedule(this.cluster.limits().log());
@@ -130,9 +180,10 @@
 
 	private void startCore() {
 		this.generation++;
+		MembershipPolicy policy = this.cluster.membershipPolicy();
 		ReplicaConfiguration configuration = new ReplicaConfiguration("sim", this.peer.member(this.disk.incarnation()),
-				this.cluster.founders(), this.cluster.timings(), this.cluster.limits(),
-				this.cluster.membershipPolicy());
+				this.seeds, this.cluster.timings(), this.cluster.limits(),
+				new MembershipPolicy(policy.targetVoters(), this.mayFormCluster, policy.replaceAfter()));
 		var recovered = this.disk.recover();
 		this.core = new ReplicaCore(configuration, recovered, this.random.split(), this.leaseClock.read());
 		if (recovered.snapshot().getIndex() > this.appliedIndex) {
@@ -337,6 +388,7 @@
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
+		this.cluster.monitor().restored(this, header);
 		this.appliedIndex = header.getIndex();
 		this.snapshotSchedule.recordSnapshot(header);
 		this.epoch = header.getEpoch();
