Make the learner a voter before the silent voter leaves

Callers see: after one of three voters was lost for good while another one only restarted, nobody leads the control log any more, also once that one is back. With five voters: two lost while a third one is cut off.

Cause: MembershipRepair removed the silent voter first and then promoted the learner. A leader whose lease has not run out yet does not know that it lost the quorum. It appended the removal of the voter that was only away, just after the other one was lost. The removal could not commit without the lost voter, but was in force in the logs that held it: there the voter that came back no longer counted, and its own log was too short for it to be elected.

Change: where the voters are complete, a learner that has caught up becomes a voter beside the silent one, and then the silent one leaves, without a learner of its own. While there is one voter more, the one that comes back counts; after that, the learner does. An even number above the target with a silent voter shrinks instead of taking another learner. A voter that lost its disk still leaves first: it can't come back.

--- a/bench/src/test/java/io/verbenatrack/bench/control/MachineScheduleTests.java
+++ b/bench/src/test/java/io/verbenatrack/bench/control/MachineScheduleTests.java
@@ -37,6 +37,20 @@
 		play(ScheduleSize.FIVE_REPLACED);
 	}
 
+	// Guards against a log without a leader for good after one of three voters was lost
+	// while
+	// another one restarted.
+	@Test
+	public void threeVotersElectALeaderAfterALossDuringARestart() {
+		assertThat(play(295, ScheduleSize.THREE_REPLACED).result().violations()).isEmpty();
+	}
+
+	// Guards against the same while one of five voters is cut off.
+	@Test
+	public void fiveVotersElectALeaderAfterLossesDuringACut() {
+		assertThat(play(55, ScheduleSize.FIVE_REPLACED).result().violations()).isEmpty();
+	}
+
 	@Test
 	public void sameSeedGivesTheSameResult() {
 		assertThat(play(7, ScheduleSize.THREE_REPLACED).result())
--- a/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
+++ b/control/src/main/java/io/verbenatrack/control/replica/MembershipRepair.java
@@ -13,9 +13,10 @@
 
 /**
  * Replaces a replica that lost its disk with its new incarnation, and an unresponsive
- * replica with a new one. The replacement joins as a learner. Once it has caught up, the
- * lost voter is removed and the learner becomes a voter. A learner that no longer answers
- * is removed; it announces itself and joins again if it is not gone.
+ * replica with a new one. The replacement joins as a learner. Once it has caught up, a
+ * voter that lost its disk is removed and the learner becomes a voter; it becomes one
+ * before a voter that is only silent is removed. A learner that no longer answers is
+ * removed; it announces itself and joins again if it is not gone.
  */
 final class MembershipRepair {
 
@@ -87,12 +88,13 @@
 			.filter(this::caughtUp)
 			.flatMap((learner) -> repairWith(learner).stream())
 			.findFirst()
+			.or(this::withoutSurplusVoter)
 			.or(this::withoutGoneLearner)
 			.ifPresent((next) -> this.leadership.changeMembership(NO_TOKEN, next));
 	}
 
 	private Optional<Membership> repairWith(ReplicaMember learner) {
-		return withoutLostVoter(learner).or(() -> promotion(learner)).or(this::withoutSilentVoter);
+		return withoutLostVoter(learner).or(() -> promotion(learner)).or(() -> promotionForSilentVoter(learner));
 	}
 
 	private Optional<Membership> withoutGoneLearner() {
@@ -162,17 +164,30 @@
 	private Optional<Membership> promotion(ReplicaMember learner) {
 		int voters = this.state.membership().getVotersCount();
 		boolean belowTarget = voters < this.state.configuration.membershipPolicy().targetVoters();
-		return (belowTarget || voters % 2 == 0) ? Optional.of(promoted(learner)) : Optional.empty();
+		boolean unpaired = voters % 2 == 0 && silentVoter().isEmpty();
+		return (belowTarget || unpaired) ? Optional.of(promoted(learner)) : Optional.empty();
+	}
+
+	// The learner becomes a voter before the silent voter leaves: a silent voter may come
+	// back, and if another one is lost before the change commits, its vote is needed.
+	private Optional<Membership> promotionForSilentVoter(ReplicaMember learner) {
+		boolean odd = this.state.membership().getVotersCount() % 2 == 1;
+		return silentVoter().filter((voter) -> odd).map((voter) -> promoted(learner));
+	}
+
+	// An odd number of voters is kept: one fewer would tolerate one failure less.
+	private Optional<Membership> withoutSurplusVoter() {
+		int voters = this.state.membership().getVotersCount();
+		boolean surplus = voters > this.state.configuration.membershipPolicy().targetVoters() && voters % 2 == 0;
+		return surplus ? withoutSilentVoter() : Optional.empty();
+	}
+
+	private Optional<ReplicaMember> silentVoter() {
+		return this.state.membership().getVotersList().stream().filter(this.leadership::isSilent).findFirst();
 	}
 
-	// Removes one voter at a time, because a membership change may add or remove only
-	// one.
 	private Optional<Membership> withoutSilentVoter() {
-		Optional<ReplicaMember> silentVoter = this.state.membership()
-			.getVotersList()
-			.stream()
-			.filter(this.leadership::isSilent)
-			.findFirst();
+		Optional<ReplicaMember> silentVoter = silentVoter();
 		silentVoter.ifPresent((voter) -> this.state.notifyListener(ReplicaNotice.REMOVED, describe(voter)));
 		return silentVoter.flatMap((voter) -> without(voter::equals));
 	}
--- a/control/src/test/java/io/verbenatrack/control/replica/MembershipRepairTests.java
+++ b/control/src/test/java/io/verbenatrack/control/replica/MembershipRepairTests.java
@@ -49,6 +49,36 @@
 		assertThat(this.core.membership().getLearnersList()).isEmpty();
 	}
 
+	// Guards against a log without a leader for good: a voter that was only cut off was
+	// removed just after another one was lost, which the removal needed.
+	@Test
+	public void learnerBecomesVoterBeforeSilentVoterLeaves() {
+		becomeLeaderWithLearner();
+		Membership before = this.core.membership();
+		for (int tick = 0; tick < 100 && this.core.membership().equals(before); tick++) {
+			this.now += SECOND / 10;
+			acknowledgeAll("b", "d");
+		}
+		assertThat(this.core.membership().getVotersList()).extracting(ReplicaMember::getInstance)
+			.containsExactly("a", "b", "c", "d");
+		this.now += SECOND / 10;
+		acknowledgeAll("c", "d");
+		assertThat(this.core.commitIndex()).isEqualTo(this.core.lastIndex());
+	}
+
+	// Guards against a learner that stays a voter beside the one whose place it took.
+	@Test
+	public void surplusSilentVoterLeavesWithoutALearner() {
+		Membership fourVoters = THREE_VOTERS.toBuilder().addVoters(member("d")).build();
+		startWithMembership(MembershipPolicy.DEFAULT, fourVoters);
+		becomeLeader("b", "d");
+		for (int second = 0; second < 9; second++) {
+			passSecondWithAnswersOf("b", "d");
+		}
+		assertThat(this.core.membership().getVotersList()).extracting(ReplicaMember::getInstance)
+			.containsExactly("a", "b", "d");
+	}
+
 	// Guards against a cluster that is one loss from stopping without a log line.
 	@Test
 	public void learnerThatDoesNotCatchUpIsReported() {
