Expect the Error of a halted replica outside the await of its test

A replica completes its proposals before the thread passes the Error to its handler, and Awaitility fails an await with any exception that reaches the default handler meanwhile. What the test asks of the replica and of its thread is unchanged.

--- a/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
+++ b/control/src/test/java/io/verbenatrack/control/driver/ReplicaTests.java
@@ -201,7 +201,8 @@
 			assertThat(propose(replica, "a")).isEqualTo(new ProposalOutcome.Unknown());
 			assertThat(replica.leads()).isFalse();
 			assertThat(replica.halted()).isTrue();
-			await().atMost(Duration.ofSeconds(5)).until(() -> !protocolThreadRuns());
+			// The Error is expected in the handler of the thread that it ended.
+			await().dontCatchUncaughtExceptions().atMost(Duration.ofSeconds(5)).until(() -> !protocolThreadRuns());
 		}
 	}
 
