--- a/review/6/OtherWriter.java
+++ b/review/6/OtherWriter.java
@@ -43,8 +43,8 @@
 					+ "\",\"zone\":\"zone-a\",\"version\":1,\"slots\":\"8\",\"state\":\"ready\",\"room\":{\"cpu\":64000,"
 					+ "\"memMb\":262144,\"gpu\":8},\"labels\":[\"a\",\"r1-1\"],\"born\":" + System.currentTimeMillis()
 					+ ",\"seqNo\":1}";
-			CaseRun.Response response = run.follow(run.control(1), "PUT", "/verbenatrack/instances/w-other", Map.of(),
-					entry, 1000);
+			CaseRun.Response response = run.follow(run.control(1), "PUT", CaseRun.wire("executors-path") + "w-other",
+					Map.of(), entry, 1000);
 			run.record("other", "PUT instances/w-other " + entry + " -> "
 					+ ((response != null) ? response.status + " " + response.body : "no answer"));
 		}
--- a/review/CaseRun.java
+++ b/review/CaseRun.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Properties;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -44,6 +46,8 @@
 
 	private static final int REPLICAS = 3;
 
+	private static final Properties WIRE = readWire();
+
 	private final long startedNanos = System.nanoTime();
 
 	private final Path root = Path.of("").toAbsolutePath();
@@ -125,6 +129,22 @@
 		System.exit(status);
 	}
 
+	/** A name of the platform. */
+	static String wire(String name) {
+		return WIRE.getProperty(name);
+	}
+
+	private static Properties readWire() {
+		Properties names = new Properties();
+		try (InputStream input = Files.newInputStream(Path.of("review/wire-2.properties"))) {
+			names.load(input);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return names;
+	}
+
 	long nowMillis() {
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedNanos);
 	}
@@ -239,7 +259,7 @@
 		ProcessBuilder builder = new ProcessBuilder(command(role));
 		Map<String, String> environment = builder.environment();
 		environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
-		environment.put("VERBENATRACK_CONFIG", file.toString());
+		environment.put(wire("settings-variable"), file.toString());
 		builder.directory(this.root.toFile());
 		builder.redirectErrorStream(true);
 		builder.redirectOutput(ProcessBuilder.Redirect.appendTo(this.folder.resolve(name + ".log").toFile()));
@@ -296,7 +316,7 @@
 	int configure(String body, long withinMillis) throws Exception {
 		long end = nowMillis() + withinMillis;
 		for (int turn = 0; nowMillis() < end; turn++) {
-			Response response = follow(control(1 + turn % REPLICAS), "PUT", "/verbenatrack/config", Map.of(), body, 1000);
+			Response response = follow(control(1 + turn % REPLICAS), "PUT", wire("configuration-path"), Map.of(), body, 1000);
 			if (response != null && response.status < 500 && response.status != 307) {
 				record("operator", "PUT config -> " + response.status);
 				return response.status;
@@ -314,8 +334,8 @@
 	Response client(int entry, String method, String path, String body, int deadlineMillis) {
 		Map<String, String> headers = new LinkedHashMap<>();
 		headers.put("Host", HOST);
-		headers.put("Api-Key", this.apiKey);
-		headers.put("X-Deadline-Ms", Integer.toString(deadlineMillis));
+		headers.put(wire("key-header"), this.apiKey);
+		headers.put(wire("deadline-header"), Integer.toString(deadlineMillis));
 		Response response = call(front(entry), method, path, headers, body, deadlineMillis);
 		String shown = (body == null) ? "" : " " + ((body.length() > 200) ? body.substring(0, 200) + "..." : body);
 		record("client", method + " " + path + shown + " -> "
--- a/review/SoundExecutor.java
+++ b/review/SoundExecutor.java
@@ -29,7 +29,8 @@
 
 	final String address;
 
-	final long born = System.currentTimeMillis();
+	/** By the clock of its machine. */
+	final long born;
 
 	private final long startNanos = System.nanoTime();
 
@@ -60,6 +61,11 @@
 	private volatile boolean endSinceBeat;
 
 	SoundExecutor(CaseRun run, World world, String id, int machine) {
+		this(run, world, id, machine, 0);
+	}
+
+	SoundExecutor(CaseRun run, World world, String id, int machine, long clockAheadMillis) {
+		this.born = System.currentTimeMillis() + clockAheadMillis;
 		this.run = run;
 		this.world = world;
 		this.id = id;
@@ -112,7 +118,7 @@
 			String body = report();
 			String target = (this.heartbeatAddress != null) ? this.heartbeatAddress
 					: this.run.control(1 + this.nextReplica++ % 3);
-			CaseRun.Response response = this.run.follow(target, "PUT", "/verbenatrack/instances/" + this.id, Map.of(),
+			CaseRun.Response response = this.run.follow(target, "PUT", CaseRun.wire("executors-path") + this.id, Map.of(),
 					body, RESPONSE_MILLIS);
 			long waitMillis = 200;
 			if (response == null || response.status != 200 || System.nanoTime() - sent > TimeUnit.SECONDS.toNanos(1)) {
@@ -147,7 +153,8 @@
 		}
 	}
 
-	private synchronized String report() {
+	/** The next heartbeat. */
+	synchronized String report() {
 		List<String> runs = new ArrayList<>();
 		for (Task task : this.running.values()) {
 			runs.add("[" + Json.quote(task.name) + "," + task.number + ",\"\"," + this.world.percent(task.name, task.startNanos)
@@ -166,15 +173,15 @@
 	}
 
 	private synchronized long obey(Map<String, Object> orders, long sentNanos) {
-		Object next = orders.get("heartbeatAddr");
+		Object next = orders.get(CaseRun.wire("next-address"));
 		this.heartbeatAddress = (next instanceof String text && !text.isEmpty()) ? text : null;
-		long retryMillis = Json.number(orders, "retryMs", 1500);
+		long retryMillis = Json.number(orders, CaseRun.wire("next-millis"), 1500);
 		long sentFence = Json.number(orders, "fence", 0);
 		if (sentFence < this.fence) {
 			return retryMillis;
 		}
 		this.fence = sentFence;
-		long lastSeen = Json.number(orders, "lastSeen", 0);
+		long lastSeen = Json.number(orders, CaseRun.wire("noted-end"), 0);
 		this.ended.removeIf((end) -> {
 			boolean noted = (Long) end[0] <= lastSeen;
 			if (noted) {
@@ -186,7 +193,7 @@
 		for (List<Object> stop : Json.rows(orders, "stop")) {
 			stop((String) stop.get(0), ((Double) stop.get(1)).intValue());
 		}
-		long holdMillis = Json.number(orders, "holdMs", 0);
+		long holdMillis = Json.number(orders, CaseRun.wire("lease-millis"), 0);
 		if (holdMillis <= 0) {
 			return retryMillis;
 		}
--- a/review/World.java
+++ b/review/World.java
@@ -32,8 +32,6 @@
 
 	private final Map<String, Integer> starts = new LinkedHashMap<>();
 
-	private final Map<String, String> doneOn = new HashMap<>();
-
 	World(long workMillis, int gangSize, int failingRuns, boolean lasting) {
 		this.workMillis = workMillis;
 		this.gangSize = gangSize;
@@ -60,10 +58,6 @@
 		if (!on.isEmpty()) {
 			this.doubled.add(task + " run " + run + " starts on " + executor + " while it runs on " + on);
 		}
-		if (this.doneOn.containsKey(task)) {
-			this.doubled.add(task + " run " + run + " starts on " + executor + " after it ended done on "
-					+ this.doneOn.get(task));
-		}
 		on.add(executor);
 		this.starts.merge(task, 1, Integer::sum);
 		if (this.gangSize > 1) {
@@ -78,9 +72,6 @@
 
 	synchronized void ended(String executor, String task, int run, String how) {
 		this.present.getOrDefault(task, new ArrayList<>()).remove(executor);
-		if (how.equals("done")) {
-			this.doneOn.put(task, executor);
-		}
 		if (this.gangSize > 1) {
 			GangRun gangRun = this.gangs.get(gang(task)).get(run);
 			if (gangRun.ended == null) {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
 rm -rf target/review-2
 mkdir -p target/review-2
 "$jdk_home/bin/javac" -Xlint:-options -d target/review-2 review/CaseRun.java review/Json.java review/SoundExecutor.java \
-  review/SilentProxy.java review/World.java $(find review/6 review/7 review/8 review/9 review/10 -name '*.java' 2>/dev/null | sort)
+  review/World.java $(find review/6 review/7 review/8 review/9 review/10 -name '*.java' 2>/dev/null | sort)
