End no lease on a report that nothing proves

Cause: an entry of another writer named the address of a worker at work. The decoder skipped the fields that the product does not use and took missing lists for empty ones, so that the entry counted as the first report of a new process. Such a report ended the runs of the worker at its address, or under its id, at once, under a lease that was still valid (LossCause.ADDRESS_REUSED).

A report that looks fresh takes no place of a worker that reports, and ends no run before the lease of the run does: the worker counts as a successor once it lists a run that this leader started on it, which only a live process can. The leases of replaced incarnations are kept until they end.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -88,7 +88,7 @@
 		this.timings = timings;
 		this.term = term;
 		this.startNanos = now.nanos();
-		this.registry = new WorkerRegistry(now.nanos(), timings.maxLeaseNanos());
+		this.registry = new WorkerRegistry(now.nanos(), timings);
 		this.runMover = new StalledRunMover(state, this.registry);
 		this.placementHistory = new PlacementHistory(this.runMover);
 		this.earlierReportsEndNanos = now.nanos() + timings.maxLeaseNanos();
@@ -124,6 +124,9 @@
 				if (report.draining() && !wasDraining) {
 					this.events.add(new FleetEvent.WorkerDraining(report.life(), report.running().size()));
 				}
+				if (listsRunOfThisTerm(report)) {
+					followed.worker().confirm();
+				}
 				this.events.addAll(this.runMover.inspect(followed.worker(), nowNanos));
 				yield Optional.of(recordRunEnds(followed.worker(), report, nowNanos));
 			}
@@ -137,6 +140,20 @@
 					() -> this.state.configuration().filter((known) -> known.hasService(report.service())).isPresent());
 	}
 
+	private boolean listsRunOfThisTerm(WorkerReport report) {
+		Map<TaskId, Integer> known = this.state.runsOn(report.life());
+		return report.running().stream().anyMatch((run) -> startedInThisTerm(known, run.task(), run.run()))
+				|| report.ended().stream().anyMatch((end) -> startedInThisTerm(known, end.task(), end.run()));
+	}
+
+	private boolean startedInThisTerm(Map<TaskId, Integer> known, TaskId task, int run) {
+		return Integer.valueOf(run).equals(known.get(task)) && !isInherited(task, run);
+	}
+
+	private boolean isInherited(TaskId task, int run) {
+		return Integer.valueOf(run).equals(this.inheritedRuns.get(task));
+	}
+
 	private List<FleetCommand> recordRunEnds(TrackedWorker worker, WorkerReport report, long nowNanos) {
 		List<FleetCommand> commands = new ArrayList<>();
 		Set<TaskId> ended = new HashSet<>();
@@ -191,8 +208,7 @@
 
 	// Whether a report without a run can only mean that the worker does not have it.
 	private boolean provesMissing(WorkerReport report, TaskId task, int run, long nowNanos) {
-		boolean inherited = Integer.valueOf(run).equals(this.inheritedRuns.get(task));
-		return listsAllEnds(report) && (!inherited || nowNanos - this.earlierReportsEndNanos > 0);
+		return listsAllEnds(report) && (!isInherited(task, run) || nowNanos - this.earlierReportsEndNanos > 0);
 	}
 
 	private static boolean listsAllEnds(WorkerReport report) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/TrackedWorker.java
@@ -36,10 +36,11 @@
 
 	private final Set<JobId> failedJobs = new HashSet<>();
 
-	/**
-	 * Whether it began as a new process, so that the one whose place it took has ended.
-	 */
-	private final boolean successor;
+	/** Whether its first report was that of a new process. */
+	private final boolean fresh;
+
+	/** Whether it has carried out an instruction of this leader. */
+	private boolean confirmed;
 
 	private WorkerReport report;
 
@@ -57,9 +58,9 @@
 
 	private long highestListedEnd;
 
-	TrackedWorker(WorkerReport report, boolean successor, long nowNanos, long leaseEndNanos) {
+	TrackedWorker(WorkerReport report, boolean fresh, long nowNanos, long leaseEndNanos) {
 		this.report = report;
-		this.successor = successor;
+		this.fresh = fresh;
 		this.leaseEndNanos = leaseEndNanos;
 		this.suspectUntilNanos = nowNanos;
 		accept(report, nowNanos);
@@ -108,8 +109,21 @@
 		listing.ended().forEach((end) -> this.highestListedEnd = Math.max(this.highestListedEnd, end.number()));
 	}
 
+	/**
+	 * Records that the worker has carried out an instruction of this leader, which only a
+	 * process that runs now can do.
+	 */
+	void confirm() {
+		this.confirmed = true;
+	}
+
+	/**
+	 * Returns whether the worker is a new process, so that the one whose place it took
+	 * has ended. A report alone may be a late one, or that of another writer.
+	 * @return whether the process whose place it took has certainly ended
+	 */
 	boolean successor() {
-		return this.successor;
+		return this.fresh && this.confirmed;
 	}
 
 	/**
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/WorkerRegistry.java
@@ -1,13 +1,16 @@
 package io.verbenatrack.fleet.policy;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
@@ -34,6 +37,13 @@
 	/** Incarnations that reported before and were replaced, or fell silent. */
 	private final Set<WorkerIncarnation> past = new LinkedHashSet<>();
 
+	/** When the leases of replaced incarnations end, on the monotonic clock. */
+	private final Map<WorkerIncarnation, Long> replacedLeaseEnds = new HashMap<>();
+
+	private final FleetTimings timings;
+
+	private final long startNanos;
+
 	private final long leaseNanos;
 
 	private final long inheritedLeaseEndNanos;
@@ -41,11 +51,13 @@
 	/**
 	 * Creates an empty registry.
 	 * @param startNanos the start of the term in nanoseconds of the monotonic clock
-	 * @param leaseNanos the longest time that a worker may consider a lease valid
+	 * @param timings the timing parameters
 	 */
-	public WorkerRegistry(long startNanos, long leaseNanos) {
-		this.leaseNanos = leaseNanos;
-		this.inheritedLeaseEndNanos = startNanos + leaseNanos;
+	public WorkerRegistry(long startNanos, FleetTimings timings) {
+		this.timings = timings;
+		this.startNanos = startNanos;
+		this.leaseNanos = timings.maxLeaseNanos();
+		this.inheritedLeaseEndNanos = startNanos + this.leaseNanos;
 	}
 
 	/**
@@ -74,6 +86,7 @@
 			boolean fresh = fresh(report);
 			if (known != null) {
 				addPast(known.incarnation());
+				this.replacedLeaseEnds.put(known.incarnation(), known.leaseEndNanos());
 			}
 			known = new TrackedWorker(report, fresh, nowNanos, this.inheritedLeaseEndNanos);
 			this.workers.put(id, known);
@@ -90,18 +103,30 @@
 	private boolean claimsHeldPlace(WorkerReport report, Set<WorkerIncarnation> inUse, boolean begins, long nowNanos) {
 		WorkerIncarnation claimant = report.life();
 		if (begins && fresh(report)) {
-			return false;
+			return claimsActivePlace(report, inUse, nowNanos);
 		}
 		if (begins && inUse.contains(claimant)) {
 			TrackedWorker holder = this.workers.get(claimant.worker());
 			return holder != null && inUse.contains(holder.incarnation()) && holdsLease(holder, nowNanos);
 		}
-		return holdsInheritedLease(claimant, inUse, nowNanos) || this.workers.values()
+		return holdsInheritedLease(claimant, inUse, nowNanos)
+				|| holders(report).anyMatch((other) -> holdsLease(other, nowNanos));
+	}
+
+	// A worker that goes on reporting has not been replaced, whatever a report claims.
+	private boolean claimsActivePlace(WorkerReport report, Set<WorkerIncarnation> inUse, long nowNanos) {
+		Duration maxSilence = this.timings.silenceTimeout(this.workers.size());
+		boolean termBegins = nowNanos - this.startNanos <= maxSilence.toNanos();
+		return (termBegins && holdsInheritedLease(report.life(), inUse, nowNanos)) || holders(report)
+			.anyMatch((other) -> holdsLease(other, nowNanos) && other.reachable(nowNanos, maxSilence));
+	}
+
+	private Stream<TrackedWorker> holders(WorkerReport report) {
+		return this.workers.values()
 			.stream()
-			.filter((other) -> !other.incarnation().equals(claimant))
-			.filter((other) -> other.incarnation().worker().equals(claimant.worker())
-					|| other.report().address().equals(report.address()))
-			.anyMatch((other) -> holdsLease(other, nowNanos));
+			.filter((other) -> !other.incarnation().equals(report.life()))
+			.filter((other) -> other.incarnation().worker().equals(report.life().worker())
+					|| other.report().address().equals(report.address()));
 	}
 
 	// A new incarnation lists nothing of before, its reports are counted anew, and no
@@ -165,7 +190,8 @@
 
 	/**
 	 * Returns why an incarnation of a worker has certainly stopped all runs: its lease
-	 * has expired, or a newer incarnation or another worker has replaced it.
+	 * has expired, or a newer incarnation or another worker has replaced it and carries
+	 * out what this leader starts.
 	 * @param incarnation the incarnation
 	 * @param nowNanos the time in nanoseconds of the monotonic clock
 	 * @return why its runs are lost, or empty when they may go on
@@ -177,8 +203,7 @@
 		}
 		if (!known.incarnation().equals(incarnation)) {
 			return (known.successor() && known.incarnation().bornMillis() > incarnation.bornMillis())
-					? Optional.of(LossCause.NEWER_INCARNATION)
-					: causeIf(nowNanos - this.inheritedLeaseEndNanos > 0, LossCause.INHERITED_LEASE_EXPIRED);
+					? Optional.of(LossCause.NEWER_INCARNATION) : replacedLossCause(incarnation, nowNanos);
 		}
 		if (nowNanos - known.leaseEndNanos() > 0) {
 			return Optional.of(LossCause.LEASE_EXPIRED);
@@ -186,6 +211,12 @@
 		return causeIf(replacedBySuccessor(known), LossCause.ADDRESS_REUSED);
 	}
 
+	private Optional<LossCause> replacedLossCause(WorkerIncarnation incarnation, long nowNanos) {
+		Long leaseEndNanos = this.replacedLeaseEnds.get(incarnation);
+		return (leaseEndNanos != null) ? causeIf(nowNanos - leaseEndNanos > 0, LossCause.LEASE_EXPIRED)
+				: causeIf(nowNanos - this.inheritedLeaseEndNanos > 0, LossCause.INHERITED_LEASE_EXPIRED);
+	}
+
 	private static Optional<LossCause> causeIf(boolean lost, LossCause cause) {
 		return lost ? Optional.of(cause) : Optional.empty();
 	}
@@ -204,6 +235,7 @@
 			this.workers.remove(worker.incarnation().worker());
 			addPast(worker.incarnation());
 		});
+		this.replacedLeaseEnds.values().removeIf((leaseEndNanos) -> nowNanos - leaseEndNanos > 0);
 		return expired;
 	}
 
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/SchedulerFixture.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/SchedulerFixture.java
@@ -91,6 +91,12 @@
 		return this.scheduler.respond(report);
 	}
 
+	HeartbeatResponse reportAtAddressOfOne(WorkerIncarnation incarnation, long number, List<ReportedRun> running) {
+		WorkerReport own = Fixtures.report(ONE, number, false, running, List.of());
+		return report(new WorkerReport(incarnation, own.address(), own.service(), own.zone(), own.rack(), own.labels(),
+				own.room(), false, own.stayMillis(), number, own.running(), own.ended()));
+	}
+
 	void place() {
 		commit(this.scheduler.detectLostRuns(time()));
 		commit(this.scheduler.placeTasks(time(), this.nowMillis));
