Keep the state of an occurrence only while it runs, and bound the jobs by memory

All replicas ran out of memory, replayed the same log and ended again.

Change: only an occurrence that has begun and is not done has a state of its own; a pass considers the 256 earliest waiting ones of a job. JobAdmission bounds the estimated memory of the jobs, with a share for each client account; a refusal tells when the next ended job leaves. JobRetention removes jobs twice status_s after their end. Two log events tell both.

A late end of an occurrence that is done leaves no FLEET_END_IGNORED any more, as its run numbers are gone.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
@@ -6,6 +6,7 @@
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.JobId;
 
 /**
@@ -52,6 +53,21 @@
 
 	}
 
+	/**
+	 * A job was refused, as the replicas lack the memory for it.
+	 *
+	 * @param job the job
+	 * @param account its client account
+	 * @param jobBytes the memory that the job may take, in bytes
+	 * @param accountBytes the memory that the jobs of the account may take already
+	 * @param maxBytes the maximum of all accounts
+	 * @param retryMillis when there may be room, in milliseconds from now
+	 */
+	record JobRefused(JobId job, AccountId account, long jobBytes, long accountBytes, long maxBytes,
+			long retryMillis) implements FleetEvent {
+
+	}
+
 	/**
 	 * A run is taken for lost, so that its task may start again.
 	 *
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -21,6 +21,7 @@
 import io.verbenatrack.fleet.state.JobState;
 import io.verbenatrack.fleet.state.StepState;
 import io.verbenatrack.fleet.state.TaskState;
+import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.GrantedTime;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.WorkerId;
@@ -45,6 +46,12 @@
 
 	private static final int WHOLE_PERCENT = 100;
 
+	/** Time for a command that removes ended jobs. */
+	private static final Duration MIN_ROOM_RETRY = Duration.ofSeconds(1);
+
+	/** Other jobs may end, or be cancelled, sooner than is known. */
+	private static final Duration MAX_ROOM_RETRY = Duration.ofSeconds(30);
+
 	private final FleetState state;
 
 	private final FleetTimings timings;
@@ -61,6 +68,8 @@
 
 	private final PlacementHistory placementHistory;
 
+	private final JobRetention retention;
+
 	/**
 	 * Starts that no response has carried yet, so that their workers do not know of them.
 	 */
@@ -91,6 +100,7 @@
 		this.registry = new WorkerRegistry(now.nanos(), timings);
 		this.runMover = new StalledRunMover(state, this.registry);
 		this.placementHistory = new PlacementHistory(this.runMover);
+		this.retention = new JobRetention(timings.endedJobRetention(), now.nanos());
 		this.earlierReportsEndNanos = now.nanos() + timings.maxLeaseNanos();
 		state.incarnationsInUse().forEach((incarnation) -> this.inheritedRuns.putAll(state.runsOn(incarnation)));
 	}
@@ -187,15 +197,19 @@
 	// An end that was recorded before a change of leader is no news.
 	private void reportIgnoredEnd(WorkerIncarnation incarnation, ReportedEnd end) {
 		Optional<TaskState> task = this.state.step(end.task()).map((step) -> step.tasks().get(end.task().index()));
-		boolean recorded = task
-			.filter((known) -> known.run() == end.run() && (known.done() || end.how() != RunOutcome.DONE))
-			.isPresent();
+		boolean recorded = task.filter((known) -> isRecorded(known, end)).isPresent();
 		if (!recorded) {
 			this.events.add(new FleetEvent.EndIgnored(incarnation, end, task.map(TaskState::run).orElse(0),
 					task.flatMap(TaskState::runningOn)));
 		}
 	}
 
+	// The state of a task whose whole occurrence is done has no run number.
+	private static boolean isRecorded(TaskState task, ReportedEnd end) {
+		boolean occurrenceDone = task.done() && task.run() == 0;
+		return occurrenceDone || (task.run() == end.run() && (task.done() || end.how() != RunOutcome.DONE));
+	}
+
 	private FleetCommand.EndRun giveUp(TaskId task, int run, WorkerIncarnation incarnation, LossCause cause,
 			String checkpoint, long nowNanos) {
 		long lastReportNanos = this.registry.worker(incarnation)
@@ -264,6 +278,32 @@
 		return Integer.valueOf(run).equals(this.unsentStarts.get(task));
 	}
 
+	/**
+	 * Decides which ended jobs leave the state.
+	 * @param now the time
+	 * @return the command that removes them, or empty if there are none
+	 */
+	public Optional<FleetCommand> forgetJobs(GrantedTime now) {
+		return this.retention.sweep(this.state, now.nanos());
+	}
+
+	/**
+	 * Records that a job is refused, as the replicas lack the memory for it.
+	 * @param job the job
+	 * @param account its client account
+	 * @param bytes the memory that it may take
+	 * @param maxBytes the maximum for all accounts
+	 * @param now the time
+	 * @return when the caller should retry, in milliseconds from now
+	 */
+	public long refuseJob(JobId job, AccountId account, long bytes, long maxBytes, GrantedTime now) {
+		Duration untilRoom = this.retention.untilNext(now.nanos()).orElse(MAX_ROOM_RETRY);
+		long retryMillis = Math.clamp(untilRoom.toMillis(), MIN_ROOM_RETRY.toMillis(), MAX_ROOM_RETRY.toMillis());
+		this.events.add(new FleetEvent.JobRefused(job, account, bytes,
+				this.state.bytesByAccount().getOrDefault(account, 0L), maxBytes, retryMillis));
+		return retryMillis;
+	}
+
 	/**
 	 * Decides which waiting tasks start now.
 	 * @param now the time
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
@@ -13,9 +13,11 @@
  * small fleet
  * @param reportInterval the interval between two reports of a worker, in a small fleet
  * @param preemptionDelay how long a step waits before it may preempt others
+ * @param endedJobRetention how long calls about a job are answered after it has ended, at
+ * least
  */
 public record FleetTimings(Duration lease, Duration leaseMargin, Duration silenceTimeout, Duration reportInterval,
-		Duration preemptionDelay) {
+		Duration preemptionDelay, Duration endedJobRetention) {
 
 	/**
 	 * Maximum relative drift between the clocks of two machines: one runs 2% slow and the
@@ -51,6 +53,9 @@
 	 */
 	private static final Duration PREEMPTION_DELAY = Duration.ofMillis(150);
 
+	/** Twice as long as callers ask for a job that has ended. */
+	private static final Duration ENDED_JOB_RETENTION = Duration.ofSeconds(240);
+
 	/**
 	 * Creates the default timings for a lease.
 	 * @param lease how long the runs of a worker may continue after a heartbeat that was
@@ -58,7 +63,19 @@
 	 * @return the timings
 	 */
 	public static FleetTimings withLease(Duration lease) {
-		return new FleetTimings(lease, LEASE_MARGIN, SILENCE_TIMEOUT, REPORT_INTERVAL, PREEMPTION_DELAY);
+		return new FleetTimings(lease, LEASE_MARGIN, SILENCE_TIMEOUT, REPORT_INTERVAL, PREEMPTION_DELAY,
+				ENDED_JOB_RETENTION);
+	}
+
+	/**
+	 * Returns timings with another retention of ended jobs.
+	 * @param retention how long calls about a job are answered after it has ended, at
+	 * least
+	 * @return the timings
+	 */
+	public FleetTimings withEndedJobRetention(Duration retention) {
+		return new FleetTimings(this.lease, this.leaseMargin, this.silenceTimeout, this.reportInterval,
+				this.preemptionDelay, retention);
 	}
 
 	/**
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingStepOrder.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingStepOrder.java
@@ -25,6 +25,12 @@
 	 */
 	private static final long CLOCK_SKEW_MILLIS = 60;
 
+	/**
+	 * The maximum number of waiting occurrences of a job that a pass considers, the
+	 * earliest ones, so that a job with thousands of them does not delay the others.
+	 */
+	private static final int MAX_WAITING_OCCURRENCES = 256;
+
 	private PendingStepOrder() {
 	}
 
@@ -42,11 +48,14 @@
 	}
 
 	private static void collect(JobState job, Queue queue, long nowMillis, List<PendingStep> pending) {
-		for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+		int waitingOccurrences = 0;
+		for (int occurrence = job.nextOpenOccurrence(0); occurrence < job.plan().occurrences()
+				&& waitingOccurrences < MAX_WAITING_OCCURRENCES; occurrence = job.nextOpenOccurrence(occurrence + 1)) {
 			if (job.plan().scheduled() && job.plan().dueMillis(occurrence) + CLOCK_SKEW_MILLIS > nowMillis) {
 				return;
 			}
 			long ready = Math.max(job.acceptedMillis(), job.plan().dueMillis(occurrence));
+			int pendingBefore = pending.size();
 			for (int number = 0; number < job.plan().steps().size(); number++) {
 				StepState step = job.step(occurrence, number);
 				List<Integer> waiting = waiting(step);
@@ -54,6 +63,7 @@
 					pending.add(new PendingStep(job, queue, occurrence, number, step, waiting, ready));
 				}
 			}
+			waitingOccurrences += (pending.size() > pendingBefore) ? 1 : 0;
 		}
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCodec.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCodec.java
@@ -53,7 +53,8 @@
 	 */
 	public void restore(FleetState state, InputStream input) throws IOException {
 		FleetState.FleetSnapshot snapshot = this.records.decode(input, FleetState.FleetSnapshot.class);
-		if (snapshot.format() != FleetState.FleetSnapshot.FORMAT) {
+		if (snapshot.format() < FleetState.FleetSnapshot.OLDEST_FORMAT
+				|| snapshot.format() > FleetState.FleetSnapshot.FORMAT) {
 			throw new IllegalArgumentException("The snapshot has format " + snapshot.format()
 					+ ", which this version does not know. Start the version that wrote it.");
 		}
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.verbenatrack.fleet.model.ConfigurationIndex;
 import io.verbenatrack.fleet.model.FleetConfiguration;
@@ -14,6 +15,7 @@
 import io.verbenatrack.fleet.model.RunOutcome;
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
+import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.JobId;
 
 /**
@@ -27,6 +29,8 @@
 
 	private final Map<WorkerIncarnation, Map<TaskId, Integer>> runsByWorker = new HashMap<>();
 
+	private final Map<AccountId, Long> bytesByAccount = new HashMap<>();
+
 	private Optional<ConfigurationIndex> configuration = Optional.empty();
 
 	private byte[] document = new byte[0];
@@ -66,13 +70,11 @@
 		switch (command) {
 			case FleetCommand.AdoptConfiguration adopt -> adopt(adopt);
 			case FleetCommand.AcceptJob accept -> accept(accept);
-			case FleetCommand.CancelJob cancel -> job(cancel.job()).ifPresent((job) -> {
-				job.cancel();
-				this.unfinished.remove(job.job());
-			});
+			case FleetCommand.CancelJob cancel ->
+				job(cancel.job()).ifPresent((job) -> changePhase(job, JobState::cancel));
 			case FleetCommand.StartRun start -> start(start);
 			case FleetCommand.EndRun end -> end(end);
-			case FleetCommand.ForgetJobs forget -> forget.jobs().forEach(this.jobs::remove);
+			case FleetCommand.ForgetJobs forget -> forget.jobs().forEach(this::forget);
 		}
 	}
 
@@ -81,9 +83,22 @@
 			JobState job = new JobState(accept);
 			this.jobs.put(accept.job(), job);
 			this.unfinished.put(accept.job(), job);
+			addBytes(job.account(), job.estimatedBytes());
 		}
 	}
 
+	private void addBytes(AccountId account, long bytes) {
+		this.bytesByAccount.merge(account, bytes, Long::sum);
+		this.bytesByAccount.remove(account, 0L);
+	}
+
+	private void forget(JobId id) {
+		job(id).filter((job) -> job.phase().ended()).ifPresent((job) -> {
+			this.jobs.remove(id);
+			addBytes(job.account(), -job.estimatedBytes());
+		});
+	}
+
 	private void adopt(FleetCommand.AdoptConfiguration adopt) {
 		if (adopt.configuration().version() > version()) {
 			this.configuration = Optional.of(new ConfigurationIndex(adopt.configuration()));
@@ -94,9 +109,10 @@
 
 	private void start(FleetCommand.StartRun start) {
 		TaskId task = start.task();
-		step(task).ifPresent((step) -> {
-			step.tasks().get(task.index()).start(start.run(), start.life());
-			this.jobs.get(task.job()).markRunning();
+		step(task).ifPresent((present) -> {
+			JobState job = this.jobs.get(task.job());
+			job.startTask(task, start.run(), start.life());
+			job.markRunning();
 			this.runsByWorker.computeIfAbsent(start.life(), (incarnation) -> new LinkedHashMap<>())
 				.put(task, start.run());
 		});
@@ -112,15 +128,22 @@
 			removeGangRuns(end.task(), step);
 		}
 		removeRun(end.task(), end.life());
-		step.end(end.task().index(), end.how(), end.checkpoint());
+		job.endTask(end.task(), end.how(), end.checkpoint());
 		updatePhase(job);
 	}
 
 	private void updatePhase(JobState job) {
-		job.updatePhase(maxAttempts(job));
+		int maxAttempts = maxAttempts(job);
+		changePhase(job, (changed) -> changed.updatePhase(maxAttempts));
+	}
+
+	private void changePhase(JobState job, Consumer<JobState> change) {
+		long bytesBefore = job.estimatedBytes();
+		change.accept(job);
 		if (job.phase().ended()) {
 			this.unfinished.remove(job.job());
 		}
+		addBytes(job.account(), job.estimatedBytes() - bytesBefore);
 	}
 
 	private void removeGangRuns(TaskId member, StepState step) {
@@ -234,6 +257,22 @@
 		return this.unfinished.values();
 	}
 
+	/**
+	 * Returns all jobs, in the order of their acceptance.
+	 * @return a live view of the jobs
+	 */
+	public Collection<JobState> jobs() {
+		return this.jobs.values();
+	}
+
+	/**
+	 * Returns the memory that the jobs of each client account may take.
+	 * @return a live view of the estimates in bytes
+	 */
+	public Map<AccountId, Long> bytesByAccount() {
+		return this.bytesByAccount;
+	}
+
 	/**
 	 * Returns the runs on an incarnation of a worker, from the decision to start them
 	 * until their end is recorded.
@@ -266,6 +305,7 @@
 		this.jobs.clear();
 		this.unfinished.clear();
 		this.runsByWorker.clear();
+		this.bytesByAccount.clear();
 		snapshot.jobs().forEach((record) -> restore(JobState.fromRecord(record)));
 	}
 
@@ -274,7 +314,8 @@
 		if (!job.phase().ended()) {
 			this.unfinished.put(job.job(), job);
 		}
-		job.forEachTask((task, state) -> state.runningOn()
+		addBytes(job.account(), job.estimatedBytes());
+		job.forEachBegunTask((task, state) -> state.runningOn()
 			.ifPresent((incarnation) -> this.runsByWorker.computeIfAbsent(incarnation, (key) -> new LinkedHashMap<>())
 				.put(task, state.run())));
 	}
@@ -292,7 +333,10 @@
 	record FleetSnapshot(int format, long term, long sequence, Optional<FleetConfiguration> configuration,
 			byte[] document, List<JobState.JobRecord> jobs) {
 
-		static final int FORMAT = 1;
+		static final int FORMAT = 2;
+
+		/** Snapshots of format 1 hold the state of every occurrence. */
+		static final int OLDEST_FORMAT = 1;
 
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/StepState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/StepState.java
@@ -1,6 +1,7 @@
 package io.verbenatrack.fleet.state;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 
 import io.verbenatrack.fleet.model.RunOutcome;
@@ -36,6 +37,23 @@
 		this.tasks = tasks;
 	}
 
+	// The state of a step of which no task has started. It must not be changed, as its
+	// tasks share their state.
+	static StepState pristine(StepSpec spec) {
+		return new StepState(spec, Collections.nCopies(spec.count(), new TaskState()));
+	}
+
+	// The state of a step that is done. It must not be changed.
+	static StepState finished(StepSpec spec) {
+		TaskState task = new TaskState();
+		task.finish();
+		return new StepState(spec, Collections.nCopies(spec.count(), task));
+	}
+
+	boolean isPristine() {
+		return this.tasks.stream().allMatch((task) -> task.waiting() && task.run() == 0);
+	}
+
 	/**
 	 * Returns the specification of the step.
 	 * @return the specification
--- a/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
@@ -41,6 +41,12 @@
 		this.golden.assertCompatible("snapshot", List.of(sample), this::restored, this::snapshot);
 	}
 
+	// Guards against replicas that cannot read the snapshots of an earlier release.
+	@Test
+	public void snapshotOfFormat1IsConverted() {
+		this.golden.assertConverted("snapshot-1", "snapshot", this::restored, this::snapshot);
+	}
+
 	private byte[] snapshot(FleetState state) {
 		ByteArrayOutputStream output = new ByteArrayOutputStream();
 		try {
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
@@ -1,6 +1,8 @@
 package io.verbenatrack.fleetd;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -14,9 +16,11 @@
 import io.verbenatrack.fleet.model.Queue;
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.fleet.policy.FleetScheduler;
+import io.verbenatrack.fleet.policy.JobAdmission;
 import io.verbenatrack.fleet.policy.ReportCheck;
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.fleet.state.FleetState;
+import io.verbenatrack.fleet.state.JobFootprint;
 import io.verbenatrack.fleet.state.JobState;
 import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.GrantedTime;
@@ -45,17 +49,23 @@
 
 	private final FleetState state;
 
+	private final JobAdmission admission;
+
 	private final long nowMillis;
 
-	CallDecider(FleetScheduler scheduler, FleetState state, long nowMillis) {
+	/** The memory of the jobs that this turn accepts, in bytes. */
+	private final Map<AccountId, Long> acceptedBytes = new HashMap<>();
+
+	CallDecider(FleetScheduler scheduler, FleetState state, JobAdmission admission, long nowMillis) {
 		this.scheduler = scheduler;
 		this.state = state;
+		this.admission = admission;
 		this.nowMillis = nowMillis;
 	}
 
 	CallDecision decide(FleetCall call, GrantedTime arrived) {
 		return switch (call) {
-			case FleetCall.SubmitJob submit -> decideInQueue(submit.origin(), (path) -> submit(path, submit));
+			case FleetCall.SubmitJob submit -> decideInQueue(submit.origin(), (path) -> submit(path, submit, arrived));
 			case FleetCall.AskState ask -> decideInQueue(ask.origin(), this::queryState);
 			case FleetCall.CancelJob cancel -> decideInQueue(cancel.origin(), this::cancel);
 			case FleetCall.Heartbeat heartbeat -> heartbeat(heartbeat.report(), arrived);
@@ -88,7 +98,7 @@
 		return action.apply(new JobPath(queue.get(), account.get(), name));
 	}
 
-	private CallDecision submit(JobPath path, FleetCall.SubmitJob submit) {
+	private CallDecision submit(JobPath path, FleetCall.SubmitJob submit, GrantedTime arrived) {
 		if (!path.hasJobId()) {
 			return CallDecision.of(new FleetReply.Invalid(new Problem(ProblemKind.INVALID,
 					"'" + path.name() + "' names no job.", "Use 16 hexadecimal digits.")));
@@ -96,10 +106,24 @@
 		if (this.state.job(path.jobId()).isPresent()) {
 			return CallDecision.of(new FleetReply.Stored());
 		}
+		long bytes = JobFootprint.bytes(submit.plan());
+		if (!this.admission.admits(this.state, this.acceptedBytes, path.account(), bytes)) {
+			return CallDecision.of(noMemory(path, bytes, arrived));
+		}
+		this.acceptedBytes.merge(path.account(), bytes, Long::sum);
 		return CallDecision.afterCommit(new FleetCommand.AcceptJob(path.jobId(), path.queue().name(), path.account(),
 				submit.plan(), this.nowMillis), new FleetReply.Stored());
 	}
 
+	private FleetReply noMemory(JobPath path, long bytes, GrantedTime arrived) {
+		long retryMillis = this.scheduler.refuseJob(path.jobId(), path.account(), bytes, this.admission.maxBytes(),
+				arrived);
+		return new FleetReply.Refused(
+				new Problem(ProblemKind.OVERLOADED, "The jobs of the client account take too much memory.",
+						"Come back once some of them have ended, or cancel those that are not needed."),
+				retryMillis);
+	}
+
 	private CallDecision queryState(JobPath path) {
 		if (path.name().isEmpty()) {
 			return CallDecision.of(new FleetReply.Waiting(pendingJobs(path.queue())));
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
@@ -14,6 +14,7 @@
 import io.verbenatrack.control.driver.LoggingReplicaListener;
 import io.verbenatrack.control.link.GrpcReplica;
 import io.verbenatrack.fleet.policy.FleetTimings;
+import io.verbenatrack.fleet.policy.JobAdmission;
 import io.verbenatrack.fleet.state.FleetCodec;
 import io.verbenatrack.model.Closer;
 import io.verbenatrack.model.InstanceId;
@@ -65,8 +66,9 @@
 			GrpcReplica replica = closer.register(GrpcReplica.start(settings, stateMachine,
 					() -> new ConfigurationAuthority.Applied(settings.clusterName(), Revision.NONE, ByteString.EMPTY),
 					new LoggingReplicaListener(events), clock));
-			FleetLoop loop = closer.register(
-					new FleetLoop(replica.replica(), stateMachine, codec, timings, clock, wallClock, events, metrics));
+			JobAdmission admission = JobAdmission.ofHeap(Runtime.getRuntime().maxMemory());
+			FleetLoop loop = closer.register(new FleetLoop(replica.replica(), stateMachine, codec, timings, admission,
+					clock, wallClock, events, metrics));
 			FleetClient client = new MeteredFleetClient(loop, metrics, () -> clock.held().nanos());
 			metrics.gauge(MetricName.CONTROL_TERM, () -> replica.replica().term());
 			metrics.gauge(MetricName.CONTROL_LEADER, () -> replica.replica().leads() ? 1 : 0);
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
@@ -37,9 +37,9 @@
 					new Field("worker", end.life().worker()), new Field("how", end.how()), termField);
 			case FleetCommand.AdoptConfiguration adopt -> events.write(LogEvent.FLEET_CONFIGURATION_ADOPTED,
 					new Field("version", adopt.configuration().version()), termField);
-			case FleetCommand.ForgetJobs forget -> {
-				// Not logged: only jobs that ended long ago are removed.
-			}
+			case FleetCommand.ForgetJobs forget -> events.write(LogEvent.FLEET_JOBS_FORGOTTEN,
+					new Field("jobs", forget.jobs().size()), new Field("first", forget.jobs().getFirst()),
+					new Field("last", forget.jobs().getLast()), termField);
 		}
 	}
 
@@ -58,6 +58,11 @@
 				events.write(LogEvent.FLEET_WORKER_GONE, new Field("worker", gone.incarnation().worker()),
 						new Field("silentMillis", gone.silentMillis()), termField);
 			case FleetEvent.ReportIgnored ignored -> writeIgnoredReport(events, termField, ignored);
+			case FleetEvent.JobRefused refused ->
+				events.write(LogEvent.FLEET_JOB_REFUSED, new Field("job", refused.job()),
+						new Field("account", refused.account()), new Field("jobBytes", refused.jobBytes()),
+						new Field("accountBytes", refused.accountBytes()), new Field("maxBytes", refused.maxBytes()),
+						new Field("retryMillis", refused.retryMillis()), termField);
 			case FleetEvent.RunGivenUp givenUp -> events.write(LogEvent.FLEET_RUN_GIVEN_UP,
 					new Field("job", givenUp.task().job()), new Field("task", taskNumber(givenUp.task())),
 					new Field("run", givenUp.run()), new Field("worker", givenUp.incarnation().worker()),
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -24,6 +24,7 @@
 import io.verbenatrack.fleet.policy.FleetEvent;
 import io.verbenatrack.fleet.policy.FleetScheduler;
 import io.verbenatrack.fleet.policy.FleetTimings;
+import io.verbenatrack.fleet.policy.JobAdmission;
 import io.verbenatrack.fleet.state.FleetBatch;
 import io.verbenatrack.fleet.state.FleetCodec;
 import io.verbenatrack.fleet.state.FleetCommand;
@@ -89,6 +90,8 @@
 
 	private final FleetTimings timings;
 
+	private final JobAdmission admission;
+
 	private final LeaseClock clock;
 
 	private final InstantSource wallClock;
@@ -115,17 +118,19 @@
 	 * @param stateMachine the state machine to which the log is applied
 	 * @param codec encodes batches
 	 * @param timings the timing parameters of the leader
+	 * @param admission decides whether there is memory for another job
 	 * @param clock the clock for the leases of workers and for timeouts
 	 * @param wallClock the wall clock, used for scheduled times
 	 * @param events the event log, which receives the decisions
 	 * @param metrics the metrics registry, which counts decisions and times turns
 	 */
 	public FleetLoop(ReplicatedLog log, FleetStateMachine stateMachine, FleetCodec codec, FleetTimings timings,
-			LeaseClock clock, InstantSource wallClock, EventLog events, Metrics metrics) {
+			JobAdmission admission, LeaseClock clock, InstantSource wallClock, EventLog events, Metrics metrics) {
 		this.log = log;
 		this.stateMachine = stateMachine;
 		this.codec = codec;
 		this.timings = timings;
+		this.admission = admission;
 		this.clock = clock;
 		this.wallClock = wallClock;
 		this.events = events;
@@ -261,9 +266,11 @@
 	private List<FleetCommand> decideCalls(LeaderTerm leaderTerm, List<WaitingCall> batch,
 			List<CallDecision> decisions) {
 		return this.stateMachine.read((state) -> {
-			CallDecider rules = new CallDecider(leaderTerm.scheduler, state, this.wallClock.millis());
+			CallDecider rules = new CallDecider(leaderTerm.scheduler, state, this.admission, this.wallClock.millis());
 			batch.forEach((call) -> decisions.add(decide(rules, call)));
-			return leaderTerm.scheduler.detectLostRuns(this.clock.granted());
+			List<FleetCommand> commands = new ArrayList<>(leaderTerm.scheduler.detectLostRuns(this.clock.granted()));
+			leaderTerm.scheduler.forgetJobs(this.clock.granted()).ifPresent(commands::add);
+			return commands;
 		});
 	}
 
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
@@ -25,6 +25,7 @@
 import io.verbenatrack.fleet.model.StepSpec;
 import io.verbenatrack.fleet.model.WorkerPool;
 import io.verbenatrack.fleet.policy.FleetTimings;
+import io.verbenatrack.fleet.policy.JobAdmission;
 import io.verbenatrack.fleet.state.FleetBatch;
 import io.verbenatrack.fleet.state.FleetCodec;
 import io.verbenatrack.fleet.state.FleetCommand;
@@ -73,8 +74,9 @@
 		};
 		this.loop = new FleetLoop(this.log, this.stateMachine, this.codec,
 				new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250), Duration.ofSeconds(60),
-						Duration.ofMillis(200), Duration.ofMillis(500)),
-				LeaseClock.exact(MonotonicClock.system()), InstantSource.system(), events, new Metrics());
+						Duration.ofMillis(200), Duration.ofMillis(500), Duration.ofMinutes(4)),
+				new JobAdmission(Long.MAX_VALUE), LeaseClock.exact(MonotonicClock.system()), InstantSource.system(),
+				events, new Metrics());
 		this.loop.start();
 		assertThat(reply(call(configuration(1)))).isEqualTo(new FleetReply.Stored());
 	}
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopTests.java
@@ -31,12 +31,14 @@
 import io.verbenatrack.fleet.model.WorkerPool;
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.fleet.policy.FleetTimings;
+import io.verbenatrack.fleet.policy.JobAdmission;
 import io.verbenatrack.fleet.state.FleetCodec;
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
+import io.verbenatrack.model.ProblemKind;
 import io.verbenatrack.model.ServiceId;
 import io.verbenatrack.model.WorkerId;
 import io.verbenatrack.model.ZoneId;
@@ -52,6 +54,9 @@
 
 	private static final ServiceId SERVICE = new ServiceId("service");
 
+	/** Room for many small jobs, but not for one with thousands of tasks. */
+	private static final long MAX_JOB_BYTES = 1_000_000;
+
 	private static final FleetCall SUBMIT = new FleetCall.SubmitJob(
 			new FleetCall.Origin("host", "/q/0123456789abcdef", ""),
 			new JobPlan("payload", List.of(new StepSpec(1, new Resources(1, 1, 1), 1000, List.of(), false, false,
@@ -71,8 +76,9 @@
 		this.log = new FailingLog();
 		this.loop = new FleetLoop(this.log, this.stateMachine, this.codec,
 				new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250), Duration.ofSeconds(60),
-						Duration.ofMillis(200), Duration.ofMillis(500)),
-				LeaseClock.exact(MonotonicClock.system()), InstantSource.system(), EventLog.none(), new Metrics());
+						Duration.ofMillis(200), Duration.ofMillis(500), Duration.ofMinutes(4)),
+				new JobAdmission(MAX_JOB_BYTES), LeaseClock.exact(MonotonicClock.system()), InstantSource.system(),
+				EventLog.none(), new Metrics());
 		this.loop.start();
 		Queue queue = new Queue("q", "host", "/q/", SERVICE, 0, 1, 1, 1000, 3000, true);
 		call(new FleetCall.ChangeConfiguration(new FleetConfiguration(1, List.of(queue),
@@ -114,6 +120,39 @@
 		assertThat(jobStored()).isTrue();
 	}
 
+	private static FleetCall submit(long number, int tasks) {
+		StepSpec step = new StepSpec(tasks, new Resources(1, 1, 1), 1000, List.of(), false, false, Optional.empty(),
+				Optional.empty(), 0, false, false, false);
+		return new FleetCall.SubmitJob(new FleetCall.Origin("host", "/q/%016x".formatted(number), ""),
+				new JobPlan("payload", List.of(step), 0, 0, 1));
+	}
+
+	// Guards against LOST: jobs were accepted until all replicas ran out of memory.
+	@Test
+	public void jobsThatTakeTooMuchMemoryAreRefusedUntilOthersHaveEnded() throws Exception {
+		int tasks = 500;
+		int accepted = 0;
+		FleetReply reply = call(submit(accepted, tasks));
+		while (reply instanceof FleetReply.Stored && accepted < 100) {
+			accepted++;
+			reply = call(submit(accepted, tasks));
+		}
+		assertThat(reply).isInstanceOfSatisfying(FleetReply.Refused.class, (refused) -> {
+			assertThat(refused.problem().kind()).isEqualTo(ProblemKind.OVERLOADED);
+			assertThat(refused.retryMillis()).isBetween(1000L, 30_000L);
+		});
+		assertThat(accepted).isBetween(2, 10);
+		long refusedJob = accepted;
+		assertThat(call(submit(0, tasks))).isEqualTo(new FleetReply.Stored());
+		assertThat(call(new FleetCall.AskState(new FleetCall.Origin("host", "/q/%016x".formatted(refusedJob), ""))))
+			.isEqualTo(new FleetReply.NoSuchJob());
+		for (long job = 0; job < 2; job++) {
+			assertThat(call(new FleetCall.CancelJob(new FleetCall.Origin("host", "/q/%016x".formatted(job), ""))))
+				.isEqualTo(new FleetReply.Stored());
+		}
+		assertThat(call(submit(refusedJob, tasks))).isEqualTo(new FleetReply.Stored());
+	}
+
 	private static FleetCall heartbeat(long bornMillis, long sequence) {
 		return heartbeat("w", bornMillis, sequence);
 	}
--- a/state/src/test/java/io/verbenatrack/state/golden/GoldenBytes.java
+++ b/state/src/test/java/io/verbenatrack/state/golden/GoldenBytes.java
@@ -72,6 +72,24 @@
 		assertThat(missing).as("lines missing in the golden file; add them only for new records").isEmpty();
 	}
 
+	/**
+	 * Asserts that all golden bytes of an earlier format are decoded and encoded in the
+	 * current format, to bytes in the file.
+	 * @param <T> the type of the records
+	 * @param earlier the name of the earlier format
+	 * @param current the name of the current format
+	 * @param decoder decodes a record of either format
+	 * @param encoder encodes a record in the current format
+	 */
+	public <T> void assertConverted(String earlier, String current, Function<byte[], T> decoder,
+			Function<T, byte[]> encoder) {
+		assertThat(this.bytesByFormat).containsKeys(earlier, current);
+		List<String> golden = this.bytesByFormat.get(current).stream().map(GoldenBytes::hex).toList();
+		for (byte[] bytes : this.bytesByFormat.get(earlier)) {
+			assertThat(golden).as(earlier).contains(hex(encoder.apply(decoder.apply(bytes))));
+		}
+	}
+
 	private static String hex(byte[] bytes) {
 		return HexFormat.of().formatHex(bytes);
 	}
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -276,7 +276,17 @@
 	/** The reported end of a run changes nothing. */
 	FLEET_END_IGNORED(6030, System.Logger.Level.INFO,
 			"The reported end of a run is acknowledged and changes nothing, as the run is not the current one.",
-			"If it ended as done, see why it was given up: FLEET_RUN_GIVEN_UP of the same task and run.");
+			"If it ended as done, see why it was given up: FLEET_RUN_GIVEN_UP of the same task and run."),
+
+	/** A job is refused for want of memory. */
+	FLEET_JOB_REFUSED(6031, System.Logger.Level.WARNING,
+			"A job is refused, as the jobs of its client account take more memory than the replicas have for them.",
+			"Cancel jobs of the account that are not needed, or give the replicas more memory."),
+
+	/** Jobs that ended long ago leave the state. */
+	FLEET_JOBS_FORGOTTEN(6032, System.Logger.Level.INFO,
+			"Jobs that ended long ago are removed; calls about them are answered as for unknown jobs.",
+			"Nothing to do.");
 
 	private final int number;
 
