Limit the starts in an answer by size, and commit large batches in parts

Cause: the answer to a heartbeat carried every start that the worker did not list. With 1,170 starts of 4,000 bytes it was larger than the 4 MiB that a worker takes, was dropped, and was sent again unchanged for good.

Change: starts are added while they fit into 2 MiB, by their encoded size; the rest counts as not sent and goes with the next answers. A worker gets at most 8,000 runs, so that its stops and its own reports fit their receivers as well. Commands that exceed a batch of the log are committed in parts: before, the term ended and the next leader placed the same tasks again.

--- a/fleet/src/main/java/io/verbenatrack/fleet/model/HeartbeatResponse.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/model/HeartbeatResponse.java
@@ -27,6 +27,35 @@
 	 */
 	public record Start(TaskId task, int run, String payload, String checkpoint) {
 
+		/** The bytes of a start without its texts. */
+		private static final int FIXED_BYTES = 100;
+
+		private static final int CONTROL_BYTES = 6;
+
+		private static final int QUOTED_BYTES = 2;
+
+		/**
+		 * Returns how long the start is at most when it is encoded as JSON.
+		 * @return the size in bytes
+		 */
+		public long maxEncodedBytes() {
+			return FIXED_BYTES + encodedBytes(this.payload) + encodedBytes(this.checkpoint);
+		}
+
+		private static long encodedBytes(String text) {
+			return text.chars().mapToLong(Start::encodedBytes).sum();
+		}
+
+		private static long encodedBytes(int character) {
+			if (character < ' ') {
+				return CONTROL_BYTES;
+			}
+			if (character == '"' || character == '\\') {
+				return QUOTED_BYTES;
+			}
+			return (character < 0x80) ? 1 : 3;
+		}
+
 	}
 
 	/**
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/CandidateWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/CandidateWorker.java
@@ -16,12 +16,17 @@
  */
 final class CandidateWorker {
 
+	/** A report that lists more runs than this would be refused for its size. */
+	private static final int MAX_RUNS = 8000;
+
 	private final TrackedWorker worker;
 
 	private final List<RunningTask> runningTasks = new ArrayList<>();
 
 	private Resources free;
 
+	private int runs;
+
 	private boolean reserved;
 
 	CandidateWorker(TrackedWorker worker) {
@@ -47,13 +52,23 @@
 
 	void addRunning(RunningTask running) {
 		this.runningTasks.add(running);
+		this.runs++;
 		this.free = this.free.minus(running.room());
 	}
 
 	void allocate(Resources room) {
+		this.runs++;
 		this.free = this.free.minus(room);
 	}
 
+	boolean fits(StepSpec step) {
+		return this.runs < MAX_RUNS && step.room().fitsIn(this.free);
+	}
+
+	int maxTasks(StepSpec step) {
+		return Math.min(step.maxTasksIn(this.free), Math.max(0, MAX_RUNS - this.runs));
+	}
+
 	boolean idle() {
 		return this.free.equals(this.worker.report().room());
 	}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -375,6 +375,7 @@
 		long acknowledged = report.ended().stream().mapToLong(ReportedEnd::number).max().orElse(0);
 		List<HeartbeatResponse.Start> starts = new ArrayList<>();
 		List<HeartbeatResponse.Stop> stops = new ArrayList<>();
+		StartBudget budget = new StartBudget();
 		Map<TaskId, Integer> known = this.state.runsOn(report.life());
 		known.forEach((task, run) -> {
 			boolean listed = worker.reportsRunning(task, run);
@@ -382,8 +383,11 @@
 				stops.add(new HeartbeatResponse.Stop(task, run));
 			}
 			else if (!listed && listsAllEnds(report)) {
-				starts.add(start(task, run));
-				this.unsentStarts.remove(task);
+				HeartbeatResponse.Start start = start(task, run);
+				if (budget.take(start)) {
+					starts.add(start);
+					this.unsentStarts.remove(task);
+				}
 			}
 		});
 		for (ReportedRun running : report.running()) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
@@ -80,7 +80,7 @@
 		Map<Integer, CandidateWorker> placed = new LinkedHashMap<>();
 		int next = 0;
 		for (CandidateWorker candidate : fullestFirst) {
-			int slots = step.spec().maxTasksIn(candidate.free());
+			int slots = candidate.maxTasks(step.spec());
 			while (slots > 0 && next < step.waiting().size()) {
 				placed.put(step.waiting().get(next++), candidate);
 				slots--;
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -245,7 +245,7 @@
 			Map<CandidateWorker, Integer> used) {
 		StepSpec spec = step.spec();
 		return candidates.stream()
-			.filter((candidate) -> spec.room().fitsIn(candidate.free()))
+			.filter((candidate) -> candidate.fits(spec))
 			.filter((candidate) -> !candidate.reserved() || step.queue().priority() == 0)
 			.filter((candidate) -> this.reservations.allows(candidate, step, this.nowMillis))
 			.filter((candidate) -> this.eligibility.mayStart(step, index, candidate))
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -18,6 +18,7 @@
 import io.micrometer.core.instrument.Timer;
 
 import io.verbenatrack.control.ProposalOutcome;
+import io.verbenatrack.control.ReplicaLimits;
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.fleet.call.FleetCall;
 import io.verbenatrack.fleet.call.FleetReply;
@@ -77,6 +78,9 @@
 	 */
 	private static final Duration LEADERSHIP_CHECK_INTERVAL = Duration.ofMillis(300);
 
+	/** The log refuses a larger batch. */
+	private static final int MAX_BATCH_BYTES = ReplicaLimits.DEFAULT.commandBytes();
+
 	/** Longer than a disk hangs that recovers. */
 	private static final Duration MAX_COMMIT_WAIT = Duration.ofSeconds(10);
 
@@ -298,9 +302,8 @@
 		List<FleetCommand> commands = new ArrayList<>();
 		decisions.forEach((decision) -> commands.addAll(decision.commands()));
 		commands.addAll(lostRuns);
-		ProposalOutcome outcome = commit(leaderTerm, commands);
-		return (outcome instanceof ProposalOutcome.Refused) ? commitSeparately(leaderTerm, decisions, lostRuns)
-				: outcome;
+		return commitTogether(leaderTerm, commands).filter((outcome) -> !(outcome instanceof ProposalOutcome.Refused))
+			.orElseGet(() -> commitSeparately(leaderTerm, decisions, lostRuns));
 	}
 
 	// Only the calls that cannot be stored are refused. An unknown outcome covers the
@@ -340,11 +343,34 @@
 	}
 
 	private ProposalOutcome commit(LeaderTerm leaderTerm, List<FleetCommand> commands) {
+		return commitTogether(leaderTerm, commands).orElseGet(() -> commitHalves(leaderTerm, commands));
+	}
+
+	private ProposalOutcome commitHalves(LeaderTerm leaderTerm, List<FleetCommand> commands) {
+		int middle = commands.size() / 2;
+		ProposalOutcome first = commit(leaderTerm, commands.subList(0, middle));
+		if (!committed(first)) {
+			return first;
+		}
+		ProposalOutcome second = commit(leaderTerm, commands.subList(middle, commands.size()));
+		// The first half has taken effect.
+		return (second instanceof ProposalOutcome.NotLeader) ? new ProposalOutcome.Unknown() : second;
+	}
+
+	// Returns empty, and commits nothing, if several commands are too large for a batch.
+	private Optional<ProposalOutcome> commitTogether(LeaderTerm leaderTerm, List<FleetCommand> commands) {
 		if (commands.isEmpty()) {
-			return new ProposalOutcome.Committed(0, new byte[0]);
+			return Optional.of(new ProposalOutcome.Committed(0, new byte[0]));
+		}
+		byte[] batch = this.codec.encode(new FleetBatch(leaderTerm.term, leaderTerm.sequence + 1, commands));
+		if (batch.length > MAX_BATCH_BYTES && commands.size() > 1) {
+			return Optional.empty();
 		}
-		FleetBatch batch = new FleetBatch(leaderTerm.term, leaderTerm.sequence + 1, commands);
-		ProposalOutcome outcome = await(this.log.propose(this.codec.encode(batch)), leaderTerm.term);
+		return Optional.of(propose(leaderTerm, commands, batch));
+	}
+
+	private ProposalOutcome propose(LeaderTerm leaderTerm, List<FleetCommand> commands, byte[] batch) {
+		ProposalOutcome outcome = await(this.log.propose(batch), leaderTerm.term);
 		if (outcome instanceof ProposalOutcome.Committed applied && !FleetStateMachine.applied(applied.result())) {
 			outcome = new ProposalOutcome.NotLeader(this.log.leader());
 		}
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
@@ -4,6 +4,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -14,6 +15,7 @@
 import org.testng.annotations.Test;
 
 import io.verbenatrack.control.ProposalOutcome;
+import io.verbenatrack.control.ReplicaLimits;
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.fleet.call.FleetCall;
 import io.verbenatrack.fleet.call.FleetReply;
@@ -23,7 +25,9 @@
 import io.verbenatrack.fleet.model.Queue;
 import io.verbenatrack.fleet.model.Resources;
 import io.verbenatrack.fleet.model.StepSpec;
+import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerPool;
+import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.fleet.policy.FleetTimings;
 import io.verbenatrack.fleet.policy.JobAdmission;
 import io.verbenatrack.fleet.state.FleetBatch;
@@ -35,6 +39,8 @@
 import io.verbenatrack.model.Problem;
 import io.verbenatrack.model.ProblemKind;
 import io.verbenatrack.model.ServiceId;
+import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.model.ZoneId;
 import io.verbenatrack.telemetry.EventLog;
 import io.verbenatrack.telemetry.LogEvent;
 import io.verbenatrack.telemetry.Metrics;
@@ -99,6 +105,44 @@
 				new JobPlan("payload", List.of(step), 0, 0, 1));
 	}
 
+	private static FleetCall submitWide(String job, int tasks) {
+		StepSpec step = new StepSpec(tasks, new Resources(0, 0, 0), 1000, List.of(), false, false, Optional.empty(),
+				Optional.empty(), 0, false, false, false);
+		return new FleetCall.SubmitJob(new FleetCall.Origin("host", "/q/" + job, ""),
+				new JobPlan("payload", List.of(step), 0, 0, 1));
+	}
+
+	private static FleetCall heartbeat(String worker, long sequence) {
+		return new FleetCall.Heartbeat(new WorkerReport(new WorkerIncarnation(new WorkerId(worker), 1), worker + ":1",
+				SERVICE, new ZoneId("z"), "r", Set.of("r"), new Resources(10, 10, 8), false, 0, sequence, List.of(),
+				List.of()));
+	}
+
+	// Guards against LOST: the starts of one pass exceeded the size of a command, the
+	// term
+	// ended, and the next one placed the same tasks again.
+	@Test
+	public void startsThatExceedACommandOfTheLogAreCommittedInParts() throws Exception {
+		this.log.script = (command) -> (command.length > ReplicaLimits.DEFAULT.commandBytes())
+				? CompletableFuture.completedFuture(new ProposalOutcome.Refused(
+						new Problem(ProblemKind.TOO_LARGE, "The command is too large.", "Send a smaller one.")))
+				: this.log.commit(command);
+		List<String> workers = List.of("w1", "w2", "w3");
+		for (String worker : workers) {
+			assertThat(reply(call(heartbeat(worker, 1)))).isInstanceOf(FleetReply.Orders.class);
+		}
+		int tasks = 19_000;
+		assertThat(reply(call(submitWide("00000000000000bb", tasks)))).isEqualTo(new FleetReply.Stored());
+		int started = 0;
+		for (String worker : workers) {
+			assertThat(reply(call(heartbeat(worker, 2)))).isInstanceOf(FleetReply.Orders.class);
+			started += this.stateMachine
+				.read((state) -> state.runsOn(new WorkerIncarnation(new WorkerId(worker), 1)).size());
+		}
+		assertThat(started).isEqualTo(tasks);
+		assertThat(this.terms).hasValue(1);
+	}
+
 	private CompletableFuture<FleetReply> call(FleetCall call) {
 		return this.loop.call(call, Duration.ofSeconds(5));
 	}
