Take a job for begun once a worker lists a run of it

Cause: a job was marked as running when a start was decided. The worker had crashed, the start was withdrawn, and the mark stayed.

Change: the command BeginJobs records that a worker lists the first run of a job; an end other than refused and lost tells the same. It is logged as FLEET_JOB_BEGAN.

--- a/fleet/src/main/java/io/verbenatrack/fleet/model/JobPhase.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/model/JobPhase.java
@@ -5,10 +5,10 @@
  */
 public enum JobPhase {
 
-	/** Accepted; no task has started. */
+	/** Accepted; no worker has begun a task. */
 	PENDING,
 
-	/** At least one task has started. */
+	/** A worker has begun at least one task. */
 	RUNNING,
 
 	/** Every task is done. */
--- a/fleet/src/main/java/io/verbenatrack/fleet/model/RunOutcome.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/model/RunOutcome.java
@@ -27,6 +27,14 @@
 	REFUSED,
 
 	/** The worker was lost, so the end is not reported. */
-	LOST
+	LOST;
+
+	/**
+	 * Returns whether the run certainly began.
+	 * @return whether the worker had started the run before it ended
+	 */
+	public boolean begun() {
+		return this != REFUSED && this != LOST;
+	}
 
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import io.verbenatrack.fleet.model.HeartbeatResponse;
+import io.verbenatrack.fleet.model.JobPhase;
 import io.verbenatrack.fleet.model.ReportedEnd;
 import io.verbenatrack.fleet.model.ReportedRun;
 import io.verbenatrack.fleet.model.RunOutcome;
@@ -75,6 +76,9 @@
 	 */
 	private final Map<TaskId, Integer> unsentStarts = new HashMap<>();
 
+	/** Jobs that are pending until the command is applied that records their begin. */
+	private final Set<JobId> beginning = new HashSet<>();
+
 	/** The runs that earlier leaders started. */
 	private final Map<TaskId, Integer> inheritedRuns = new HashMap<>();
 
@@ -181,6 +185,7 @@
 			}
 		}
 		worker.recordListed(report);
+		begunJobs(report).ifPresent(commands::add);
 		this.state.runsOn(report.life()).forEach((task, run) -> {
 			if (worker.reportsRunning(task, run) || ended.contains(task)) {
 				worker.clearMissing(task);
@@ -194,6 +199,22 @@
 		return commands;
 	}
 
+	private Optional<FleetCommand> begunJobs(WorkerReport report) {
+		Map<TaskId, Integer> known = this.state.runsOn(report.life());
+		List<JobId> begun = report.running()
+			.stream()
+			.filter((run) -> Integer.valueOf(run.run()).equals(known.get(run.task())))
+			.map((run) -> run.task().job())
+			.filter(this::isPending)
+			.filter(this.beginning::add)
+			.toList();
+		return begun.isEmpty() ? Optional.empty() : Optional.of(new FleetCommand.BeginJobs(begun));
+	}
+
+	private boolean isPending(JobId job) {
+		return this.state.job(job).filter((known) -> known.phase() == JobPhase.PENDING).isPresent();
+	}
+
 	// An end that was recorded before a change of leader is no news.
 	private void reportIgnoredEnd(WorkerIncarnation incarnation, ReportedEnd end) {
 		Optional<TaskState> task = this.state.step(end.task()).map((step) -> step.tasks().get(end.task().index()));
@@ -315,6 +336,7 @@
 		long nowNanos = now.nanos();
 		this.runMover.removeStale(nowNanos);
 		this.unsentStarts.entrySet().removeIf((start) -> !this.state.isRunning(start.getKey(), start.getValue()));
+		this.beginning.removeIf((job) -> !isPending(job));
 		PlacementPass pass = new PlacementPass(this.state, this.registry, this.timings, this.placementHistory,
 				this.preempted, this.waitingJobs, nowNanos, nowMillis);
 		pass.run();
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCommand.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCommand.java
@@ -74,6 +74,20 @@
 
 	}
 
+	/**
+	 * Records that a worker has begun the first task of each job. A start alone does not
+	 * tell, as its worker may never get it.
+	 *
+	 * @param jobs the jobs
+	 */
+	record BeginJobs(List<JobId> jobs) implements FleetCommand {
+
+		public BeginJobs {
+			jobs = List.copyOf(jobs);
+		}
+
+	}
+
 	/**
 	 * Removes jobs that ended long ago.
 	 *
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -73,6 +73,7 @@
 			case FleetCommand.CancelJob cancel ->
 				job(cancel.job()).ifPresent((job) -> changePhase(job, JobState::cancel));
 			case FleetCommand.StartRun start -> start(start);
+			case FleetCommand.BeginJobs begin -> begin.jobs().forEach((id) -> job(id).ifPresent(JobState::markRunning));
 			case FleetCommand.EndRun end -> end(end);
 			case FleetCommand.ForgetJobs forget -> forget.jobs().forEach(this::forget);
 		}
@@ -112,7 +113,6 @@
 		step(task).ifPresent((present) -> {
 			JobState job = this.jobs.get(task.job());
 			job.startTask(task, start.run(), start.life());
-			job.markRunning();
 			this.runsByWorker.computeIfAbsent(start.life(), (incarnation) -> new LinkedHashMap<>())
 				.put(task, start.run());
 		});
@@ -129,6 +129,9 @@
 		}
 		removeRun(end.task(), end.life());
 		job.endTask(end.task(), end.how(), end.checkpoint());
+		if (end.how().begun()) {
+			job.markRunning();
+		}
 		updatePhase(job);
 	}
 
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
@@ -37,6 +37,8 @@
 					new Field("worker", end.life().worker()), new Field("how", end.how()), termField);
 			case FleetCommand.AdoptConfiguration adopt -> events.write(LogEvent.FLEET_CONFIGURATION_ADOPTED,
 					new Field("version", adopt.configuration().version()), termField);
+			case FleetCommand.BeginJobs begin ->
+				begin.jobs().forEach((job) -> events.write(LogEvent.FLEET_JOB_BEGAN, new Field("job", job), termField));
 			case FleetCommand.ForgetJobs forget -> events.write(LogEvent.FLEET_JOBS_FORGOTTEN,
 					new Field("jobs", forget.jobs().size()), new Field("first", forget.jobs().getFirst()),
 					new Field("last", forget.jobs().getLast()), termField);
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -286,7 +286,10 @@
 	/** Jobs that ended long ago leave the state. */
 	FLEET_JOBS_FORGOTTEN(6032, System.Logger.Level.INFO,
 			"Jobs that ended long ago are removed; calls about them are answered as for unknown jobs.",
-			"Nothing to do.");
+			"Nothing to do."),
+
+	/** A worker runs the first task of a job. */
+	FLEET_JOB_BEGAN(6033, System.Logger.Level.INFO, "A worker has begun the first task of a job.", "Nothing to do.");
 
 	private final int number;
 
