Let the starts of the batch test exceed a command of the log

Cause: with the short names of its workers the starts had less than 2 MB, so the test held on the code before the change as well.

Change: the workers have names of 81 characters.

Evidence: on the commit before the change it fails, 1 of 5 tests; it passes now.

--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
@@ -127,7 +127,8 @@
 				? CompletableFuture.completedFuture(new ProposalOutcome.Refused(
 						new Problem(ProblemKind.TOO_LARGE, "The command is too large.", "Send a smaller one.")))
 				: this.log.commit(command);
-		List<String> workers = List.of("w1", "w2", "w3");
+		String longName = "w".repeat(80);
+		List<String> workers = List.of(longName + 1, longName + 2, longName + 3);
 		for (String worker : workers) {
 			assertThat(reply(call(heartbeat(worker, 1)))).isInstanceOf(FleetReply.Orders.class);
 		}
