Release the tasks of a job that has ended with its last run

Cause: the memory estimate of a cancelled or failed job falls when it ends, but its begun tasks stayed until the job was forgotten. Jobs that are handed in and cancelled in turn could fill the heap again (read in the review of this change).

Change: the tasks leave when the job has ended and none of its runs is left. The estimate changes once, when the job ends, in place of twice with each end.

Evidence: OccurrenceStateTests.tasksOfACancelledJobLeaveWithItsLastRun.

--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -141,12 +141,14 @@
 	}
 
 	private void changePhase(JobState job, Consumer<JobState> change) {
-		long bytesBefore = job.estimatedBytes();
+		if (job.phase().ended()) {
+			return;
+		}
 		change.accept(job);
 		if (job.phase().ended()) {
 			this.unfinished.remove(job.job());
+			addBytes(job.account(), JobFootprint.endedBytes(job.plan()) - JobFootprint.bytes(job.plan()));
 		}
-		addBytes(job.account(), job.estimatedBytes() - bytesBefore);
 	}
 
 	private void removeGangRuns(TaskId member, StepState step) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/JobState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/JobState.java
@@ -173,7 +173,8 @@
 	}
 
 	/**
-	 * Returns the memory that the state may take until the job has ended.
+	 * Returns the memory that the state may take: until the job ends, or once it has
+	 * ended.
 	 * @return an estimate in bytes
 	 */
 	public long estimatedBytes() {
@@ -196,6 +197,14 @@
 			this.begun.remove(task.occurrence());
 			this.done.set(task.occurrence());
 		}
+		releaseEnded();
+	}
+
+	// Workers stop the runs of a job that has ended; until then their ends are recorded.
+	private void releaseEnded() {
+		if (this.phase.ended() && this.begun.values().stream().flatMap(List::stream).noneMatch(StepState::running)) {
+			this.begun.clear();
+		}
 	}
 
 	void markRunning() {
@@ -207,6 +216,7 @@
 	void cancel() {
 		if (!this.phase.ended()) {
 			this.phase = JobPhase.CANCELLED;
+			releaseEnded();
 		}
 	}
 
@@ -224,6 +234,7 @@
 		else if (nextOpenOccurrence(0) >= this.plan.occurrences()) {
 			this.phase = JobPhase.COMPLETED;
 		}
+		releaseEnded();
 	}
 
 	JobRecord toRecord() {
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/StepState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/StepState.java
@@ -50,6 +50,10 @@
 		return new StepState(spec, Collections.nCopies(spec.count(), task));
 	}
 
+	boolean running() {
+		return this.tasks.stream().anyMatch((task) -> task.runningOn().isPresent());
+	}
+
 	boolean isPristine() {
 		return this.tasks.stream().allMatch((task) -> task.waiting() && task.run() == 0);
 	}
@@ -84,8 +88,7 @@
 	 * @return whether the current run of the gang can no longer succeed
 	 */
 	public boolean gangIncomplete() {
-		return this.spec.gang() && this.tasks.stream().anyMatch(TaskState::waiting)
-				&& this.tasks.stream().anyMatch((task) -> task.runningOn().isPresent());
+		return this.spec.gang() && this.tasks.stream().anyMatch(TaskState::waiting) && running();
 	}
 
 	/**
--- a/fleet/src/test/java/io/verbenatrack/fleet/state/OccurrenceStateTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/OccurrenceStateTests.java
@@ -173,6 +173,24 @@
 		assertThat(this.state.bytesByAccount()).isEmpty();
 	}
 
+	// Guards against memory of cancelled and failed jobs that is kept until they are
+	// forgotten.
+	@Test
+	public void tasksOfACancelledJobLeaveWithItsLastRun() throws IOException {
+		JobId job = Fixtures.job(1);
+		apply(new FleetCommand.AcceptJob(job, "batch", ACCOUNT, Fixtures.plan(Fixtures.step(1000, 1, false)), 1000));
+		start(job, 0, 1);
+		assertThat(begunTasks(job)).isEqualTo(1000);
+		apply(new FleetCommand.CancelJob(job));
+		assertThat(this.state.runsOn(WORKER)).hasSize(1);
+		assertThat(begunTasks(job)).isEqualTo(1000);
+		end(job, 0, 1, RunOutcome.STOPPED);
+		assertThat(this.state.runsOn(WORKER)).isEmpty();
+		assertThat(begunTasks(job)).isZero();
+		restart();
+		assertThat(this.state.job(job).orElseThrow().phase()).isEqualTo(JobPhase.CANCELLED);
+	}
+
 	@Test
 	public void jobThatHasNotEndedIsNotForgotten() {
 		JobId job = accept(1, 1);
