--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelIntruder.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelIntruder.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Random;
 
+import io.verbenatrack.fleet.Fixtures;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.model.ServiceId;
@@ -37,7 +38,8 @@
 		WorkerId id = this.random.nextBoolean() ? worker.incarnation.worker()
 				: new WorkerId("intruder-" + ++this.names);
 		long bornMillis = worker.incarnation.bornMillis() + 1 + this.random.nextLong(MAX_LATER_MILLIS);
-		return worker.reportOf(new WorkerIncarnation(id, bornMillis), SERVICE, 1 + this.random.nextLong(MAX_SEQUENCE),
+		ServiceId service = this.random.nextBoolean() ? SERVICE : Fixtures.SERVICE;
+		return worker.reportOf(new WorkerIncarnation(id, bornMillis), service, 1 + this.random.nextLong(MAX_SEQUENCE),
 				List.of(), List.of());
 	}
 
