--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Expected run times of tasks and speeds of workers.
+ */
+package io.verbenatrack.fleet.forecast;
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.verbenatrack.fleet.forecast.RunForecast;
 import io.verbenatrack.fleet.model.HeartbeatResponse;
 import io.verbenatrack.fleet.model.JobPhase;
 import io.verbenatrack.fleet.model.ReportedEnd;
@@ -71,6 +72,8 @@
 
 	private final JobRetention retention;
 
+	private final RunForecast forecast = RunForecast.DECLARED;
+
 	/**
 	 * Starts that no response has carried yet, so that their workers do not know of them.
 	 */
@@ -102,7 +105,7 @@
 		this.term = term;
 		this.startNanos = now.nanos();
 		this.registry = new WorkerRegistry(now.nanos(), timings);
-		this.runMover = new StalledRunMover(state, this.registry);
+		this.runMover = new StalledRunMover(state, this.registry, this.forecast);
 		this.placementHistory = new PlacementHistory(this.runMover);
 		this.retention = new JobRetention(timings.endedJobRetention(), now.nanos());
 		this.earlierReportsEndNanos = now.nanos() + timings.maxLeaseNanos();
@@ -337,8 +340,8 @@
 		this.runMover.removeStale(nowNanos);
 		this.unsentStarts.entrySet().removeIf((start) -> !this.state.isRunning(start.getKey(), start.getValue()));
 		this.beginning.removeIf((job) -> !isPending(job));
-		PlacementPass pass = new PlacementPass(this.state, this.registry, this.timings, this.placementHistory,
-				this.preempted, this.waitingJobs, nowNanos, nowMillis);
+		PlacementPass pass = new PlacementPass(this.state, this.registry, this.timings, this.forecast,
+				this.placementHistory, this.preempted, this.waitingJobs, nowNanos, nowMillis);
 		pass.run();
 		pass.starts().forEach((start) -> this.unsentStarts.put(start.task(), start.run()));
 		recordPreemptions(withWholeGangs(pass.preempted()));
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.verbenatrack.fleet.forecast.RunForecast;
 import io.verbenatrack.fleet.model.Resources;
 import io.verbenatrack.fleet.model.StepSpec;
 import io.verbenatrack.fleet.model.TaskId;
@@ -54,6 +55,8 @@
 
 	private final FleetTimings timings;
 
+	private final RunForecast forecast;
+
 	private final PlacementHistory history;
 
 	private final Set<TaskId> stopping;
@@ -80,8 +83,9 @@
 
 	private final Map<AccountId, Long> guaranteedUse = new HashMap<>();
 
-	PlacementPass(FleetState state, WorkerRegistry registry, FleetTimings timings, PlacementHistory history,
-			Set<TaskId> stopping, Set<JobId> waitingBefore, long nowNanos, long nowMillis) {
+	PlacementPass(FleetState state, WorkerRegistry registry, FleetTimings timings, RunForecast forecast,
+			PlacementHistory history, Set<TaskId> stopping, Set<JobId> waitingBefore, long nowNanos, long nowMillis) {
+		this.forecast = forecast;
 		this.history = history;
 		this.waitingBefore = waitingBefore;
 		this.reservations = new Reservations(history.reservationHolds());
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/StalledRunMover.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/StalledRunMover.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.verbenatrack.fleet.forecast.RunForecast;
 import io.verbenatrack.fleet.model.ReportedRun;
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
@@ -44,6 +45,8 @@
 
 	private final WorkerRegistry registry;
 
+	private final RunForecast forecast;
+
 	private final StallDetector stallDetector = new StallDetector();
 
 	/** The numbers of the runs that are to stop. */
@@ -54,9 +57,10 @@
 
 	private final Map<TaskId, Map<WorkerIncarnation, Long>> avoidedUntil = new HashMap<>();
 
-	StalledRunMover(FleetState state, WorkerRegistry registry) {
+	StalledRunMover(FleetState state, WorkerRegistry registry, RunForecast forecast) {
 		this.state = state;
 		this.registry = registry;
+		this.forecast = forecast;
 	}
 
 	/**
