--- a/fleet/src/main/java/io/verbenatrack/fleet/model/ConfigurationValidator.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/model/ConfigurationValidator.java
@@ -1,6 +1,11 @@
 package io.verbenatrack.fleet.model;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -24,39 +29,57 @@
 	 * @return the first problem found, or empty when the configuration is valid
 	 */
 	public static Optional<Problem> validate(FleetConfiguration configuration) {
+		return problems(configuration).stream().findFirst();
+	}
+
+	/**
+	 * Checks the same as {@link #validate} and finds all problems.
+	 * @param configuration the configuration
+	 * @return the problems, empty when the configuration is valid
+	 */
+	public static List<Problem> problems(FleetConfiguration configuration) {
+		List<Problem> problems = new ArrayList<>();
 		Set<ServiceId> services = configuration.pools().stream().map(WorkerPool::service).collect(Collectors.toSet());
-		Set<String> routes = new HashSet<>();
+		Map<String, Queue> routes = new HashMap<>();
 		Set<String> names = new HashSet<>();
 		for (Queue queue : configuration.queues()) {
 			if (!services.contains(queue.service())) {
-				return invalid("queue " + queue.name() + " names the unknown service " + queue.service(),
-						"Add the service or correct its name.");
+				problems
+					.add(invalid("The queue " + queue.name() + " names the unknown service " + queue.service() + ".",
+							"Add the service or correct its name."));
 			}
-			if (!routes.add(queue.host().toLowerCase(java.util.Locale.ROOT) + queue.pathPrefix())) {
-				return invalid("two queues share host " + queue.host() + " and prefix " + queue.pathPrefix(),
-						"Give each queue a place of its own.");
+			Queue other = routes.putIfAbsent(queue.host().toLowerCase(Locale.ROOT) + queue.pathPrefix(), queue);
+			if (other != null) {
+				problems.add(invalid(
+						"The queue " + queue.name() + " has the host " + queue.host() + " and the prefix "
+								+ queue.pathPrefix() + " of the queue " + other.name() + ".",
+						"Give each queue a place of its own."));
 			}
 			if (!names.add(queue.name())) {
-				return invalid("two queues are called " + queue.name(), "Give each queue a name of its own.");
+				problems
+					.add(invalid("Two queues are called " + queue.name() + ".", "Give each queue a name of its own."));
 			}
 			if (queue.timeoutMillis() <= 0) {
-				return invalid("queue " + queue.name() + " has no timeout", "Set a timeout above 0.");
+				problems.add(invalid("The queue " + queue.name() + " has no timeout.", "Set a timeout above 0."));
 			}
 		}
-		Set<String> keys = new HashSet<>();
+		Map<String, FleetAccount> accountsByKey = new HashMap<>();
 		for (FleetAccount account : configuration.accounts()) {
 			for (String key : account.keys()) {
-				if (!keys.add(key)) {
-					return invalid("two client accounts share a key, one of them is " + account.account(),
-							"Give each client account keys of its own.");
+				FleetAccount other = accountsByKey.putIfAbsent(key, account);
+				if (other != null) {
+					problems.add(invalid(
+							"The client account " + account.account() + " has a key that the client account "
+									+ other.account() + " lists before.",
+							"Give each client account keys of its own, and list each key once."));
 				}
 			}
 		}
-		return Optional.empty();
+		return problems;
 	}
 
-	private static Optional<Problem> invalid(String message, String remedy) {
-		return Optional.of(new Problem(ProblemKind.INVALID, message, remedy));
+	private static Problem invalid(String message, String remedy) {
+		return new Problem(ProblemKind.INVALID, message, remedy);
 	}
 
 }
