Add the command "config check"

Cause: an operator could check a configuration of the platform only by sending it.

Change: verbenatrack config check FILE [--against FILE] [--accelerators N], with the exit codes 0, 1 (new) and 2.

--- a/cli/src/main/java/io/verbenatrack/cli/Command.java
+++ b/cli/src/main/java/io/verbenatrack/cli/Command.java
@@ -9,7 +9,7 @@
  * A command of the command line interface.
  */
 sealed interface Command permits LocalRunCommand, ServeCommand, CheckCommand, DiffCommand, ApplyCommand, SubmitCommand,
-		CancelCommand, StatusCommand, ViewCommand, BenchCommand, ExplainCommand {
+		CancelCommand, StatusCommand, ViewCommand, BenchCommand, ExplainCommand, ConfigCommand {
 
 	/**
 	 * Returns the name that selects this command.
@@ -43,6 +43,14 @@
 		return List.of();
 	}
 
+	/**
+	 * Returns the names of further arguments that must follow the positional argument.
+	 * @return the names, in order; empty when there are none
+	 */
+	default List<String> operands() {
+		return List.of();
+	}
+
 	/**
 	 * Runs the command.
 	 * @param line its parsed options
--- a/cli/src/main/java/io/verbenatrack/cli/CommandLineTool.java
+++ b/cli/src/main/java/io/verbenatrack/cli/CommandLineTool.java
@@ -119,13 +119,20 @@
 			throw new UsageException("The word '" + found.getFirst() + "' has no place here.",
 					"Run 'verbenatrack " + command.name() + " --help'.");
 		}
-		if (!allowed.isEmpty() && (found.size() != 1 || !allowed.contains(found.getFirst()))) {
+		if (!allowed.isEmpty()
+				&& (found.size() != 1 + command.operands().size() || !allowed.contains(found.getFirst()))) {
 			throw new UsageException(
 					"Found '" + String.join(" ", found) + "' after 'verbenatrack " + command.name() + "'.",
-					"Give one of " + String.join(", ", allowed) + ".");
+					remedy(command));
 		}
 	}
 
+	private static String remedy(Command command) {
+		String allowed = String.join(", ", command.positionals());
+		return command.operands().isEmpty() ? "Give one of " + allowed + "."
+				: "Give " + allowed + " " + String.join(" ", command.operands()) + ".";
+	}
+
 	private static Optional<String> nearest(String word, List<String> known) {
 		return EditDistance.nearest(word, known).map((candidate) -> "Did you mean '" + candidate + "'?");
 	}
--- a/cli/src/main/java/io/verbenatrack/cli/Commands.java
+++ b/cli/src/main/java/io/verbenatrack/cli/Commands.java
@@ -11,7 +11,7 @@
 	/** The commands, in the order in which the help lists them. */
 	static final List<Command> ALL = List.of(new LocalRunCommand(), new ServeCommand(), new CheckCommand(),
 			new DiffCommand(), new ApplyCommand(), new SubmitCommand(), new CancelCommand(), new StatusCommand(),
-			new ViewCommand(), new BenchCommand(), new ExplainCommand());
+			new ViewCommand(), new BenchCommand(), new ExplainCommand(), new ConfigCommand());
 
 	private Commands() {
 	}
--- a/cli/src/main/java/io/verbenatrack/cli/ExitCode.java
+++ b/cli/src/main/java/io/verbenatrack/cli/ExitCode.java
@@ -8,6 +8,9 @@
 	/** The command succeeded. */
 	DONE(0),
 
+	/** The command has findings about its input; nothing was sent. */
+	FINDINGS(1),
+
 	/**
 	 * The command line, a settings file or a declaration is invalid; nothing was sent.
 	 */
--- a/cli/src/main/java/io/verbenatrack/cli/HelpText.java
+++ b/cli/src/main/java/io/verbenatrack/cli/HelpText.java
@@ -25,7 +25,7 @@
 		return text.append("\nOptions of every command:\n")
 			.append("  --help     shows the options and examples of a command\n")
 			.append("  --version  shows the version\n\n")
-			.append("Exit codes: 0 done, 2 usage or settings, 3 refused, 4 no instance reached, 5 outcome unknown.\n")
+			.append("Exit codes: 0 done, 1 findings, 2 usage or settings, 3 refused, 4 no instance reached, 5 outcome unknown.\n")
 			.append("\nExample:\n  verbenatrack local --settings examples/hamid/instance.yaml --work examples/hamid/night.yaml\n")
 			.toString();
 	}
@@ -35,6 +35,7 @@
 		if (!command.positionals().isEmpty()) {
 			text.append(' ').append(String.join("|", command.positionals()));
 		}
+		command.operands().forEach((operand) -> text.append(' ').append(operand));
 		text.append(" [OPTIONS]\n\n").append(command.summary()).append("\n\nOptions:\n");
 		List<Option> options = command.options()
 			.getOptions()
