Evacuate availability zones

Cause: an operator who expects the loss of a zone had no way to keep new tasks out of it, apart from draining each worker by hand.

Workers of an evacuated zone are no candidates; starts that no response carried are withdrawn, others that the worker does not list are stopped with their gang, and runs that have begun continue. A step does not wait for a data rack of the zone. Accepted orders are always stored, so that an earlier order whose outcome is unknown cannot override an acknowledged one, and the zones of withdrawn evacuations are kept so that a repeated order is accepted by a leader without reports.

--- a/fleet/src/main/java/io/verbenatrack/fleet/call/FleetCall.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/call/FleetCall.java
@@ -4,6 +4,7 @@
 import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.model.WorkerId;
+import io.verbenatrack.model.ZoneId;
 
 /**
  * A call that only the leader answers. All calls are idempotent.
@@ -85,6 +86,24 @@
 
 	}
 
+	/**
+	 * An order from an operator to evacuate an availability zone.
+	 *
+	 * @param zone the zone
+	 */
+	record EvacuateZone(ZoneId zone) implements FleetCall {
+
+	}
+
+	/**
+	 * An order from an operator to withdraw the evacuation of an availability zone.
+	 *
+	 * @param zone the zone
+	 */
+	record WithdrawEvacuation(ZoneId zone) implements FleetCall {
+
+	}
+
 	/**
 	 * Checks that the leader is reachable, and requests the limits on calls.
 	 */
--- a/fleet/src/main/java/io/verbenatrack/fleet/call/FleetReply.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/call/FleetReply.java
@@ -52,6 +52,13 @@
 
 	}
 
+	/**
+	 * No availability zone of that name is known, and the call changed nothing.
+	 */
+	record NoSuchZone() implements FleetReply {
+
+	}
+
 	/**
 	 * The API key belongs to no client account.
 	 */
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Eligibility.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Eligibility.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
 
 import io.verbenatrack.fleet.model.StepSpec;
 import io.verbenatrack.fleet.model.TaskId;
@@ -30,13 +31,17 @@
 
 	private final WaitTimers timers;
 
+	/** The racks on which nothing starts, as their zone is evacuated. */
+	private final Set<String> closedRacks;
+
 	private final long nowNanos;
 
 	private final long nowMillis;
 
-	Eligibility(StalledRunMover runMover, WaitTimers timers, long nowNanos, long nowMillis) {
+	Eligibility(StalledRunMover runMover, WaitTimers timers, Set<String> closedRacks, long nowNanos, long nowMillis) {
 		this.runMover = runMover;
 		this.timers = timers;
+		this.closedRacks = closedRacks;
 		this.nowNanos = nowNanos;
 		this.nowMillis = nowMillis;
 	}
@@ -149,7 +154,8 @@
 
 	private boolean onAcceptedRack(PendingStep step, CandidateWorker candidate) {
 		long maxWaitMillis = Math.min(step.spec().estimatedMillis(), MAX_DATA_RACK_WAIT_MILLIS);
-		return this.nowMillis - step.readyMillis() >= maxWaitMillis || onDataRack(step.spec(), candidate);
+		return this.nowMillis - step.readyMillis() >= maxWaitMillis || onDataRack(step.spec(), candidate)
+				|| step.spec().dataRack().filter(this.closedRacks::contains).isPresent();
 	}
 
 	/**
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
@@ -8,6 +8,7 @@
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.ZoneId;
 
 /**
  * An observation or decision of the leader that is logged but not replicated.
@@ -68,6 +69,21 @@
 
 	}
 
+	/**
+	 * An order about the evacuation of an availability zone was refused and changed
+	 * nothing.
+	 *
+	 * @param zone the zone
+	 * @param withdrawal whether the order was to withdraw the evacuation
+	 * @param reason why it was refused
+	 * @param waitedMillis how long the order waited for the leader, in milliseconds
+	 * @param evacuated the number of zones that are evacuated
+	 */
+	record EvacuationRefused(ZoneId zone, boolean withdrawal, EvacuationRefusal reason, long waitedMillis,
+			int evacuated) implements FleetEvent {
+
+	}
+
 	/**
 	 * A run is taken for lost, so that its task may start again.
 	 *
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -68,6 +68,8 @@
 
 	private final StalledRunMover runMover;
 
+	private final ZoneAvailability zones;
+
 	private final PlacementHistory placementHistory;
 
 	private final JobRetention retention;
@@ -105,6 +107,7 @@
 		this.term = term;
 		this.startNanos = now.nanos();
 		this.registry = new WorkerRegistry(now.nanos(), timings);
+		this.zones = new ZoneAvailability(state, this.registry);
 		this.runMover = new StalledRunMover(state, this.registry, this.forecast);
 		this.placementHistory = new PlacementHistory(this.runMover);
 		this.retention = new JobRetention(timings.endedJobRetention(), now.nanos());
@@ -195,7 +198,8 @@
 			}
 			else if (provesMissing(report, task, run, nowNanos) && !shouldRun(task)
 					&& (isUnsent(task, run) || worker.incrementMissing(task) >= MAX_MISSING_REPORTS)) {
-				LossCause cause = isUnsent(task, run) ? LossCause.START_NOT_SENT : LossCause.MISSING_IN_REPORTS;
+				LossCause cause = isUnsent(task, run) ? this.zones.unsentCause(report.life())
+						: LossCause.MISSING_IN_REPORTS;
 				commands.add(giveUp(task, run, report.life(), cause, "", nowNanos));
 			}
 		});
@@ -239,6 +243,7 @@
 		long lastReportNanos = this.registry.worker(incarnation)
 			.map(TrackedWorker::lastReportNanos)
 			.orElse(this.startNanos);
+		this.unsentStarts.remove(task, run);
 		this.events.add(new FleetEvent.RunGivenUp(task, run, incarnation, cause,
 				Duration.ofNanos(nowNanos - lastReportNanos).toMillis()));
 		return new FleetCommand.EndRun(task, run, incarnation, RunOutcome.LOST, checkpoint);
@@ -249,7 +254,7 @@
 		return listsAllEnds(report) && (!isInherited(task, run) || nowNanos - this.earlierReportsEndNanos > 0);
 	}
 
-	private static boolean listsAllEnds(WorkerReport report) {
+	static boolean listsAllEnds(WorkerReport report) {
 		return report.ended().size() < MAX_LISTED_ENDS;
 	}
 
@@ -262,8 +267,8 @@
 	}
 
 	/**
-	 * Detects runs that are lost with their worker, and starts that a silent worker
-	 * cannot have received.
+	 * Detects runs that are lost with their worker, and starts that a silent worker or
+	 * one in an evacuated zone cannot have received.
 	 * @param now the time
 	 * @return the commands that end these runs
 	 */
@@ -279,7 +284,8 @@
 					.forEach((task, run) -> commands.add(giveUp(task, run, incarnation, cause.get(),
 							known.map((worker) -> worker.checkpoint(task, run)).orElse(""), nowNanos)));
 			}
-			else if (known.filter((worker) -> worker.reachable(nowNanos, silenceTimeout)).isEmpty()) {
+			else if (this.zones.evacuated(incarnation)
+					|| known.filter((worker) -> worker.reachable(nowNanos, silenceTimeout)).isEmpty()) {
 				withdrawUnsentStarts(incarnation, commands, nowNanos);
 			}
 		}
@@ -289,11 +295,11 @@
 		return commands;
 	}
 
-	// A start that was never sent to the silent worker cannot have begun there.
+	// A start that was never sent to the worker cannot have begun there.
 	private void withdrawUnsentStarts(WorkerIncarnation incarnation, List<FleetCommand> commands, long nowNanos) {
 		this.state.runsOn(incarnation).forEach((task, run) -> {
 			if (isUnsent(task, run)) {
-				commands.add(giveUp(task, run, incarnation, LossCause.START_NOT_SENT, "", nowNanos));
+				commands.add(giveUp(task, run, incarnation, this.zones.unsentCause(incarnation), "", nowNanos));
 			}
 		});
 	}
@@ -328,6 +334,14 @@
 		return retryMillis;
 	}
 
+	/**
+	 * Returns the rules for orders to evacuate availability zones.
+	 * @return the rules, which record refused orders as events of this scheduler
+	 */
+	public EvacuationOrders evacuationOrders() {
+		return new EvacuationOrders(this.state, this.zones, this.events::add);
+	}
+
 	/**
 	 * Decides which waiting tasks start now.
 	 * @param now the time
@@ -340,7 +354,7 @@
 		this.runMover.removeStale(nowNanos);
 		this.unsentStarts.entrySet().removeIf((start) -> !this.state.isRunning(start.getKey(), start.getValue()));
 		this.beginning.removeIf((job) -> !isPending(job));
-		PlacementPass pass = new PlacementPass(this.state, this.registry, this.timings, this.forecast,
+		PlacementPass pass = new PlacementPass(this.state, this.registry, this.zones, this.timings, this.forecast,
 				this.placementHistory, this.preempted, this.waitingJobs, nowNanos, nowMillis);
 		pass.run();
 		pass.starts().forEach((start) -> this.unsentStarts.put(start.task(), start.run()));
@@ -438,30 +452,31 @@
 	private boolean shouldRun(TaskId task) {
 		return !this.preempted.contains(task) && !this.runMover.isMoving(task)
 				&& this.state.job(task.job()).filter((job) -> !job.phase().ended()).isPresent()
-				&& this.state.step(task).filter(StepState::gangIncomplete).isEmpty() && !outlivesDrainingWorker(task);
+				&& this.state.step(task).filter(StepState::gangIncomplete).isEmpty() && !workerPreventsRun(task);
 	}
 
-	// Whether the task, or any member of its gang, would outlive its draining worker.
-	private boolean outlivesDrainingWorker(TaskId task) {
+	// Whether the task, or any member of its gang, would outlive its draining worker or
+	// begin in an evacuated zone.
+	private boolean workerPreventsRun(TaskId task) {
 		Optional<StepState> step = this.state.step(task);
 		if (step.isEmpty() || !step.get().spec().gang()) {
-			return step.isPresent() && taskOutlivesWorker(task, step.get());
+			return step.isPresent() && workerPreventsTask(task, step.get());
 		}
 		for (int index = 0; index < step.get().tasks().size(); index++) {
-			if (taskOutlivesWorker(task.member(index), step.get())) {
+			if (workerPreventsTask(task.member(index), step.get())) {
 				return true;
 			}
 		}
 		return false;
 	}
 
-	private boolean taskOutlivesWorker(TaskId task, StepState step) {
+	private boolean workerPreventsTask(TaskId task, StepState step) {
 		TaskState state = step.tasks().get(task.index());
 		return state.runningOn()
 			.flatMap(this.registry::worker)
-			.filter((worker) -> worker.report().draining())
-			.filter((worker) -> !worker.reportsRunning(task, state.run())
-					|| remainingMillis(worker, task, step) > worker.report().stayMillis())
+			.filter((worker) -> this.zones.preventsStart(worker, task, state.run())
+					|| (worker.report().draining() && (!worker.reportsRunning(task, state.run())
+							|| remainingMillis(worker, task, step) > worker.report().stayMillis())))
 			.isPresent();
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/LossCause.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/LossCause.java
@@ -24,6 +24,12 @@
 	MISSING_IN_REPORTS,
 
 	/** No response has carried the start of the run. */
-	START_NOT_SENT
+	START_NOT_SENT,
+
+	/**
+	 * No response has carried the start of the run, and an operator evacuates the zone of
+	 * its worker.
+	 */
+	ZONE_EVACUATED
 
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -83,13 +83,15 @@
 
 	private final Map<AccountId, Long> guaranteedUse = new HashMap<>();
 
-	PlacementPass(FleetState state, WorkerRegistry registry, FleetTimings timings, RunForecast forecast,
-			PlacementHistory history, Set<TaskId> stopping, Set<JobId> waitingBefore, long nowNanos, long nowMillis) {
+	PlacementPass(FleetState state, WorkerRegistry registry, ZoneAvailability zones, FleetTimings timings,
+			RunForecast forecast, PlacementHistory history, Set<TaskId> stopping, Set<JobId> waitingBefore,
+			long nowNanos, long nowMillis) {
 		this.forecast = forecast;
 		this.history = history;
 		this.waitingBefore = waitingBefore;
 		this.reservations = new Reservations(history.reservationHolds());
-		this.eligibility = new Eligibility(history.runMover(), history.waitTimers(), nowNanos, nowMillis);
+		this.eligibility = new Eligibility(history.runMover(), history.waitTimers(), zones.closedRacks(), nowNanos,
+				nowMillis);
 		this.stopping = stopping;
 		this.state = state;
 		this.timings = timings;
@@ -97,7 +99,7 @@
 		this.nowMillis = nowMillis;
 		Duration silenceTimeout = timings.silenceTimeout(registry.workers().size());
 		for (TrackedWorker worker : registry.workers()) {
-			if (worker.schedulable(nowNanos, silenceTimeout)) {
+			if (worker.schedulable(nowNanos, silenceTimeout) && !zones.evacuated(worker)) {
 				this.candidatesByService.computeIfAbsent(worker.report().service(), (service) -> new ArrayList<>())
 					.add(candidate(worker));
 				this.rackSizes.merge(worker.report().rack(), 1, Integer::sum);
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCommand.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCommand.java
@@ -9,6 +9,7 @@
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.ZoneId;
 
 /**
  * A decision of the leader that changes the replicated state.
@@ -101,4 +102,23 @@
 
 	}
 
+	/**
+	 * Evacuates an availability zone: its workers begin no tasks until
+	 * {@link WithdrawEvacuation}. Changes nothing if the zone is evacuated already.
+	 *
+	 * @param zone the zone
+	 */
+	record EvacuateZone(ZoneId zone) implements FleetCommand {
+
+	}
+
+	/**
+	 * Withdraws the evacuation of an availability zone, if there is one.
+	 *
+	 * @param zone the zone
+	 */
+	record WithdrawEvacuation(ZoneId zone) implements FleetCommand {
+
+	}
+
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -17,6 +17,7 @@
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.JobId;
+import io.verbenatrack.model.ZoneId;
 
 /**
  * The replicated state of the fleet: the jobs and the configuration. Not thread-safe.
@@ -31,6 +32,8 @@
 
 	private final Map<AccountId, Long> bytesByAccount = new HashMap<>();
 
+	private final EvacuationState evacuations = new EvacuationState();
+
 	private Optional<ConfigurationIndex> configuration = Optional.empty();
 
 	private byte[] document = new byte[0];
@@ -76,6 +79,8 @@
 			case FleetCommand.BeginJobs begin -> begin.jobs().forEach((id) -> job(id).ifPresent(JobState::markRunning));
 			case FleetCommand.EndRun end -> end(end);
 			case FleetCommand.ForgetJobs forget -> forget.jobs().forEach(this::forget);
+			case FleetCommand.EvacuateZone evacuate -> this.evacuations.evacuate(evacuate.zone());
+			case FleetCommand.WithdrawEvacuation withdraw -> this.evacuations.withdraw(withdraw.zone());
 		}
 	}
 
@@ -245,6 +250,14 @@
 		return this.document;
 	}
 
+	/**
+	 * Returns the availability zones that operators evacuate.
+	 * @return a live view of the zones
+	 */
+	public EvacuationState evacuations() {
+		return this.evacuations;
+	}
+
 	/**
 	 * Returns the state of a job.
 	 * @param job the job
@@ -299,7 +312,8 @@
 	FleetSnapshot snapshot() {
 		return new FleetSnapshot(FleetSnapshot.FORMAT, this.term, this.sequence,
 				this.configuration.map(ConfigurationIndex::configuration), this.document,
-				this.jobs.values().stream().map(JobState::toRecord).toList());
+				this.jobs.values().stream().map(JobState::toRecord).toList(), List.copyOf(this.evacuations.evacuated()),
+				List.copyOf(this.evacuations.withdrawn()));
 	}
 
 	void restore(FleetSnapshot snapshot) {
@@ -311,6 +325,7 @@
 		this.unfinished.clear();
 		this.runsByWorker.clear();
 		this.bytesByAccount.clear();
+		this.evacuations.restore(snapshot.evacuatedZones(), snapshot.withdrawnZones());
 		snapshot.jobs().forEach((record) -> restore(JobState.fromRecord(record)));
 	}
 
@@ -334,15 +349,23 @@
 	 * @param configuration the configuration in force
 	 * @param document the configuration as its operator wrote it
 	 * @param jobs the jobs in the order of their acceptance
+	 * @param evacuatedZones the evacuated availability zones, none before format 3
+	 * @param withdrawnZones the availability zones whose evacuation was withdrawn last,
+	 * none before format 3
 	 */
 	record FleetSnapshot(int format, long term, long sequence, Optional<FleetConfiguration> configuration,
-			byte[] document, List<JobState.JobRecord> jobs) {
+			byte[] document, List<JobState.JobRecord> jobs, List<ZoneId> evacuatedZones, List<ZoneId> withdrawnZones) {
 
-		static final int FORMAT = 2;
+		static final int FORMAT = 3;
 
 		/** Snapshots of format 1 hold the state of every occurrence. */
 		static final int OLDEST_FORMAT = 1;
 
+		FleetSnapshot {
+			evacuatedZones = (evacuatedZones != null) ? List.copyOf(evacuatedZones) : List.of();
+			withdrawnZones = (withdrawnZones != null) ? List.copyOf(withdrawnZones) : List.of();
+		}
+
 	}
 
 }
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerModelTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/FleetSchedulerModelTests.java
@@ -17,14 +17,25 @@
 	@Test
 	public void promisesHoldInEverySeed() {
 		for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-			assertThat(new ModelFleet(seed, false).run()).as("seed %d", seed).isEmpty();
+			assertThat(new ModelFleet(seed, false, false).run()).as("seed %d", seed).isEmpty();
 		}
 	}
 
 	@Test
 	public void promisesHoldWhileTheClocksOfWorkersJump() {
 		for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-			assertThat(new ModelFleet(seed, true).run()).as("seed %d", seed).isEmpty();
+			assertThat(new ModelFleet(seed, true, false).run()).as("seed %d", seed).isEmpty();
+		}
+	}
+
+	// Guards against a start that leaves after its zone was evacuated, above all by the
+	// next leader, and against jobs that are lost with an evacuation.
+	@Test
+	public void promisesHoldWhileZonesAreEvacuated() {
+		for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+			ModelFleet fleet = new ModelFleet(seed, false, true);
+			assertThat(fleet.run()).as("seed %d", seed).isEmpty();
+			assertThat(fleet.evacuations().stored()).as("orders in seed %d", seed).isGreaterThan(3);
 		}
 	}
 
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelFleet.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelFleet.java
@@ -56,6 +56,11 @@
 
 	private static final long MAX_WORK_MILLIS = 4000;
 
+	/**
+	 * The probability of an order to evacuate a zone, or to withdraw it, in each tick.
+	 */
+	private static final double EVACUATION_PROBABILITY = 0.004;
+
 	private static final int WORKERS = 5;
 
 	private static final int JOBS = 40;
@@ -114,6 +119,10 @@
 
 	private final ModelIntruder intruder;
 
+	private final ModelEvacuations evacuations;
+
+	private final boolean evacuating;
+
 	private int newNames;
 
 	/**
@@ -121,12 +130,16 @@
 	 * @param seed the seed
 	 * @param jumpingWorkerClocks whether the wall clocks of the workers jump again and
 	 * again, so that an incarnation may state an earlier start than the one before
+	 * @param evacuating whether operators evacuate the zones of the workers
 	 */
-	ModelFleet(long seed, boolean jumpingWorkerClocks) {
+	ModelFleet(long seed, boolean jumpingWorkerClocks, boolean evacuating) {
 		this.random = new Random(seed);
 		this.jumpingWorkerClocks = jumpingWorkerClocks;
 		this.births = new ModelBirths(this.random);
 		this.intruder = new ModelIntruder(this.random);
+		this.evacuating = evacuating;
+		this.evacuations = new ModelEvacuations(this.random, this.checker,
+				(order) -> leads() && commit(List.of(order), this.nowMillis < FAULTY_MILLIS));
 		this.faultRate = 1 + 6 * this.random.nextDouble();
 		this.clock = new ModelClock(this.random);
 		this.jumpingClock = this.random.nextBoolean();
@@ -140,6 +153,10 @@
 		return this.checker;
 	}
 
+	ModelEvacuations evacuations() {
+		return this.evacuations;
+	}
+
 	/**
 	 * Runs the simulation.
 	 * @return the violations, empty if all promises were kept
@@ -168,7 +185,11 @@
 			}
 			else if (this.nowMillis == FAULTY_MILLIS) {
 				this.workers.forEach((worker) -> worker.sick = false);
+				if (this.evacuating) {
+					this.evacuations.end();
+				}
 			}
+			this.evacuations.run(this.nowMillis);
 			this.workers.forEach((worker) -> worker.run(TICK_MILLIS));
 			this.workers.forEach(this::sendReport);
 			if (this.nowMillis >= this.pausedUntilMillis
@@ -288,6 +309,9 @@
 	}
 
 	private void causeFaults() {
+		if (this.evacuating && chance(EVACUATION_PROBABILITY)) {
+			this.evacuations.order(this.workers, this.nowMillis, this::at, this::changeLeader);
+		}
 		if (chance(this.faultRate * 0.0008)) {
 			cut(anyWorker());
 		}
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelWorker.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelWorker.java
@@ -19,7 +19,6 @@
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.model.ServiceId;
-import io.verbenatrack.model.ZoneId;
 
 /**
  * One incarnation of a worker that follows its protocol to the letter. All times are
@@ -123,8 +122,8 @@
 
 	WorkerReport reportOf(WorkerIncarnation sender, ServiceId service, long number, List<ReportedRun> runs,
 			List<ReportedEnd> ends) {
-		return new WorkerReport(sender, this.address, service, new ZoneId("zone"), "rack-1", Set.of("a", "rack-1"),
-				Fixtures.WORKER_ROOM, this.draining, 2000, number, runs, ends);
+		return new WorkerReport(sender, this.address, service, ModelEvacuations.zone(this.address), "rack-1",
+				Set.of("a", "rack-1"), Fixtures.WORKER_ROOM, this.draining, 2000, number, runs, ends);
 	}
 
 	boolean cutOut(long nowMillis) {
@@ -211,11 +210,12 @@
 			return;
 		}
 		StepSpec spec = this.fleet.spec(task);
-		Run run = new Run(number, this.clock.getAsLong(), spec.gang());
+		Run run = new Run(this, number, this.clock.getAsLong(), spec.gang());
 		if (!spec.gang()) {
 			run.begin(this.fleet.workMillis(), this.random.nextInt(FAILING_RUNS_OF_ALL) == 0);
 		}
 		this.running.put(task, run);
+		this.fleet.evacuations().began(task, this, this.clock.getAsLong());
 		this.fleet.checker().started(task, number, this, this.fleet.dependencies(task));
 	}
 
@@ -262,7 +262,10 @@
 		if (members.size() == this.fleet.spec(task).count()) {
 			boolean fails = this.random.nextInt(FAILING_RUNS_OF_ALL) == 0;
 			long work = this.fleet.workMillis();
-			members.forEach((member) -> member.begin(work, fails && member == run));
+			members.forEach((member) -> {
+				member.begin(work, fails && member == run);
+				this.fleet.evacuations().began(task, member.worker, now);
+			});
 		}
 		else if (now - run.startedMillis > GANG_TIMEOUT_MILLIS) {
 			end(task, run, RunOutcome.ALONE);
@@ -337,6 +340,8 @@
 
 		final int number;
 
+		private final ModelWorker worker;
+
 		private final long startedMillis;
 
 		private final boolean gang;
@@ -349,7 +354,8 @@
 
 		private boolean fails;
 
-		private Run(int number, long startedMillis, boolean gang) {
+		private Run(ModelWorker worker, int number, long startedMillis, boolean gang) {
+			this.worker = worker;
 			this.number = number;
 			this.startedMillis = startedMillis;
 			this.gang = gang;
--- a/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
@@ -10,6 +10,7 @@
 
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
+import io.verbenatrack.model.ZoneId;
 import io.verbenatrack.state.golden.GoldenBytes;
 import io.verbenatrack.state.golden.SampleRecords;
 
@@ -38,15 +39,19 @@
 		sample.apply(new FleetBatch(1, 1,
 				List.of(SampleRecords.of(FleetCommand.AdoptConfiguration.class).getFirst(), accepted,
 						new FleetCommand.StartRun(new TaskId(accepted.job(), 0, 0, 0), 1, life),
-						new FleetCommand.BeginJobs(List.of(accepted.job())))));
+						new FleetCommand.BeginJobs(List.of(accepted.job())),
+						new FleetCommand.EvacuateZone(new ZoneId("zone-1")),
+						new FleetCommand.WithdrawEvacuation(new ZoneId("zone-2")))));
 		assertThat(sample.runsOn(life)).hasSize(1);
-		this.golden.assertCompatible("snapshot", List.of(sample), this::restored, this::snapshot);
+		this.golden.assertCompatible("snapshot-3", List.of(sample), this::restored, this::snapshot);
 	}
 
-	// Guards against replicas that cannot read the snapshots of an earlier release.
+	// Guards against replicas that cannot read the snapshots of an earlier release. The
+	// lines named snapshot have format 2.
 	@Test
-	public void snapshotOfFormat1IsConverted() {
-		this.golden.assertConverted("snapshot-1", "snapshot", this::restored, this::snapshot);
+	public void snapshotsOfFormats1And2AreConverted() {
+		this.golden.assertConverted("snapshot-1", "snapshot-3", this::restored, this::snapshot);
+		this.golden.assertConverted("snapshot", "snapshot-3", this::restored, this::snapshot);
 	}
 
 	private byte[] snapshot(FleetState state) {
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
@@ -53,13 +53,17 @@
 
 	private final long nowMillis;
 
+	private final EvacuationDecider evacuations;
+
 	/** The memory of the jobs that this turn accepts, in bytes. */
 	private final Map<AccountId, Long> acceptedBytes = new HashMap<>();
 
-	CallDecider(FleetScheduler scheduler, FleetState state, JobAdmission admission, long nowMillis) {
+	CallDecider(FleetScheduler scheduler, FleetState state, JobAdmission admission, EvacuationDecider evacuations,
+			long nowMillis) {
 		this.scheduler = scheduler;
 		this.state = state;
 		this.admission = admission;
+		this.evacuations = evacuations;
 		this.nowMillis = nowMillis;
 	}
 
@@ -75,6 +79,8 @@
 			}
 			case FleetCall.ChangeConfiguration change -> changeConfiguration(change);
 			case FleetCall.ReadConfiguration read -> CallDecision.of(readConfiguration());
+			case FleetCall.EvacuateZone evacuate -> this.evacuations.decide(evacuate, arrived);
+			case FleetCall.WithdrawEvacuation withdraw -> this.evacuations.decide(withdraw, arrived);
 			case FleetCall.Probe probe -> CallDecision
 				.of(new FleetReply.Reached(this.state.configuration().map((known) -> known.configuration().limits())));
 		};
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/ControlInstance.java
@@ -13,6 +13,7 @@
 import io.verbenatrack.control.configuration.ConfigurationAuthority;
 import io.verbenatrack.control.driver.LoggingReplicaListener;
 import io.verbenatrack.control.link.GrpcReplica;
+import io.verbenatrack.fleet.policy.EvacuationSettings;
 import io.verbenatrack.fleet.policy.FleetTimings;
 import io.verbenatrack.fleet.policy.JobAdmission;
 import io.verbenatrack.fleet.state.FleetCodec;
@@ -35,11 +36,14 @@
 
 	private final GrpcReplica replica;
 
+	private final FleetLoop loop;
+
 	private final FleetClient client;
 
-	private ControlInstance(Closer closer, GrpcReplica replica, FleetClient client) {
+	private ControlInstance(Closer closer, GrpcReplica replica, FleetLoop loop, FleetClient client) {
 		this.closer = closer;
 		this.replica = replica;
+		this.loop = loop;
 		this.client = client;
 	}
 
@@ -76,7 +80,7 @@
 			closer.register(new GrpcServer(new InetSocketAddress(settings.self().host(), settings.self().port()),
 					List.of(replica.service(), new FleetService(client, new CallCodec()))));
 			loop.start();
-			return new ControlInstance(closer, replica, client);
+			return new ControlInstance(closer, replica, loop, client);
 		}
 		catch (IOException | RuntimeException ex) {
 			closer.close();
@@ -109,6 +113,15 @@
 		this.replica.replica().useSeeds(seeds);
 	}
 
+	/**
+	 * Sets the settings that concern evacuations. Until then orders about any zone are
+	 * accepted.
+	 * @param settings the settings
+	 */
+	public void useEvacuationSettings(EvacuationSettings settings) {
+		this.loop.useEvacuationSettings(settings);
+	}
+
 	/**
 	 * Hands over leadership and stops the replica.
 	 */
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DeadlineFleetClient.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DeadlineFleetClient.java
@@ -64,6 +64,8 @@
 			case FleetCall.Leave leave -> leave.worker().value();
 			case FleetCall.ChangeConfiguration change -> "";
 			case FleetCall.ReadConfiguration read -> "";
+			case FleetCall.EvacuateZone evacuate -> evacuate.zone().value();
+			case FleetCall.WithdrawEvacuation withdraw -> withdraw.zone().value();
 			case FleetCall.Probe probe -> "";
 		};
 	}
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
@@ -42,6 +42,10 @@
 			case FleetCommand.ForgetJobs forget -> events.write(LogEvent.FLEET_JOBS_FORGOTTEN,
 					new Field("jobs", forget.jobs().size()), new Field("first", forget.jobs().getFirst()),
 					new Field("last", forget.jobs().getLast()), termField);
+			case FleetCommand.EvacuateZone evacuate ->
+				events.write(LogEvent.FLEET_ZONE_EVACUATED, new Field("zone", evacuate.zone()), termField);
+			case FleetCommand.WithdrawEvacuation withdraw ->
+				events.write(LogEvent.FLEET_EVACUATION_WITHDRAWN, new Field("zone", withdraw.zone()), termField);
 		}
 	}
 
@@ -65,6 +69,10 @@
 						new Field("account", refused.account()), new Field("jobBytes", refused.jobBytes()),
 						new Field("accountBytes", refused.accountBytes()), new Field("maxBytes", refused.maxBytes()),
 						new Field("retryMillis", refused.retryMillis()), termField);
+			case FleetEvent.EvacuationRefused refused -> events.write(LogEvent.FLEET_EVACUATION_REFUSED,
+					new Field("zone", refused.zone()), new Field("withdrawal", refused.withdrawal()),
+					new Field("reason", refused.reason()), new Field("waitedMillis", refused.waitedMillis()),
+					new Field("evacuated", refused.evacuated()), termField);
 			case FleetEvent.RunGivenUp givenUp -> events.write(LogEvent.FLEET_RUN_GIVEN_UP,
 					new Field("job", givenUp.task().job()), new Field("task", taskNumber(givenUp.task())),
 					new Field("run", givenUp.run()), new Field("worker", givenUp.incarnation().worker()),
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -22,6 +22,7 @@
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.fleet.call.FleetCall;
 import io.verbenatrack.fleet.call.FleetReply;
+import io.verbenatrack.fleet.policy.EvacuationSettings;
 import io.verbenatrack.fleet.policy.FleetEvent;
 import io.verbenatrack.fleet.policy.FleetScheduler;
 import io.verbenatrack.fleet.policy.FleetTimings;
@@ -106,6 +107,8 @@
 
 	private final Timer turnTimer;
 
+	private final EvacuationGauge evacuationGauge;
+
 	private final Map<Class<?>, Counter> decisionCounters = new HashMap<>();
 
 	private final Thread thread;
@@ -114,6 +117,8 @@
 
 	private volatile boolean ended;
 
+	private volatile EvacuationSettings evacuationSettings = EvacuationSettings.DEFAULT;
+
 	private Optional<LeaderTerm> currentTerm = Optional.empty();
 
 	/**
@@ -140,9 +145,18 @@
 		this.events = events;
 		this.metrics = metrics;
 		this.turnTimer = metrics.histogram(MetricName.FLEET_TURN_TIME);
+		this.evacuationGauge = new EvacuationGauge(metrics);
 		this.thread = Thread.ofPlatform().name("fleet").daemon().unstarted(this::run);
 	}
 
+	/**
+	 * Sets the settings that concern evacuations.
+	 * @param settings the settings
+	 */
+	public void useEvacuationSettings(EvacuationSettings settings) {
+		this.evacuationSettings = settings;
+	}
+
 	/**
 	 * Starts the thread.
 	 */
@@ -214,6 +228,7 @@
 	}
 
 	private void runTurn(List<WaitingCall> batch) {
+		this.evacuationGauge.update(this.stateMachine, this.evacuationSettings);
 		if (!this.log.leads()) {
 			endTerm();
 			batch.forEach((call) -> call.reply().complete(new FleetReply.NotLeading(this.log.leader())));
@@ -270,7 +285,10 @@
 	private List<FleetCommand> decideCalls(LeaderTerm leaderTerm, List<WaitingCall> batch,
 			List<CallDecision> decisions) {
 		return this.stateMachine.read((state) -> {
-			CallDecider rules = new CallDecider(leaderTerm.scheduler, state, this.admission, this.wallClock.millis());
+			EvacuationDecider evacuations = new EvacuationDecider(leaderTerm.scheduler.evacuationOrders(),
+					this.evacuationSettings, this.clock.granted());
+			CallDecider rules = new CallDecider(leaderTerm.scheduler, state, this.admission, evacuations,
+					this.wallClock.millis());
 			batch.forEach((call) -> decisions.add(decide(rules, call)));
 			List<FleetCommand> commands = new ArrayList<>(leaderTerm.scheduler.detectLostRuns(this.clock.granted()));
 			leaderTerm.scheduler.forgetJobs(this.clock.granted()).ifPresent(commands::add);
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/FleetLoopFailureTests.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Function;
 
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -16,7 +15,6 @@
 
 import io.verbenatrack.control.ProposalOutcome;
 import io.verbenatrack.control.ReplicaLimits;
-import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.fleet.call.FleetCall;
 import io.verbenatrack.fleet.call.FleetReply;
 import io.verbenatrack.fleet.model.CallLimits;
@@ -30,10 +28,8 @@
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.fleet.policy.FleetTimings;
 import io.verbenatrack.fleet.policy.JobAdmission;
-import io.verbenatrack.fleet.state.FleetBatch;
 import io.verbenatrack.fleet.state.FleetCodec;
 import io.verbenatrack.fleet.state.FleetCommand;
-import io.verbenatrack.model.InstanceId;
 import io.verbenatrack.model.LeaseClock;
 import io.verbenatrack.model.MonotonicClock;
 import io.verbenatrack.model.Problem;
@@ -72,7 +68,7 @@
 	void startLoop() throws Exception {
 		this.terms.set(0);
 		this.stateMachine = new FleetStateMachine(this.codec);
-		this.log = new ScriptedLog();
+		this.log = new ScriptedLog(this.stateMachine, this.codec);
 		EventLog events = (event, fields) -> {
 			if (event == LogEvent.FLEET_LEADER_BEGAN) {
 				this.terms.incrementAndGet();
@@ -227,49 +223,4 @@
 		assertThat(reply(call(new FleetCall.Probe()))).isNotNull();
 	}
 
-	/** A log whose outcomes a test chooses. */
-	private final class ScriptedLog implements ReplicatedLog {
-
-		private volatile boolean leading = true;
-
-		private volatile Function<byte[], CompletableFuture<ProposalOutcome>> script = this::commit;
-
-		private CompletableFuture<ProposalOutcome> commit(byte[] command) {
-			FleetBatch batch = FleetLoopFailureTests.this.codec.batch(command);
-			return CompletableFuture.completedFuture(new ProposalOutcome.Committed(batch.sequence(),
-					FleetLoopFailureTests.this.stateMachine.apply(batch.sequence(), command)));
-		}
-
-		@Override
-		public CompletableFuture<ProposalOutcome> propose(byte[] command) {
-			return this.script.apply(command);
-		}
-
-		@Override
-		public CompletableFuture<Optional<Long>> confirmLeadership() {
-			return CompletableFuture.completedFuture(Optional.of(1L));
-		}
-
-		@Override
-		public Optional<InstanceId> leader() {
-			return Optional.empty();
-		}
-
-		@Override
-		public boolean leads() {
-			return this.leading;
-		}
-
-		@Override
-		public long term() {
-			return 1;
-		}
-
-		@Override
-		public void close() {
-			// No resources to release.
-		}
-
-	}
-
 }
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -289,7 +289,21 @@
 			"Nothing to do."),
 
 	/** A worker runs the first task of a job. */
-	FLEET_JOB_BEGAN(6033, System.Logger.Level.INFO, "A worker has begun the first task of a job.", "Nothing to do.");
+	FLEET_JOB_BEGAN(6033, System.Logger.Level.INFO, "A worker has begun the first task of a job.", "Nothing to do."),
+
+	/** An order to evacuate an availability zone was stored on a quorum. */
+	FLEET_ZONE_EVACUATED(6034, System.Logger.Level.WARNING,
+			"An order to evacuate an availability zone was stored on a quorum; its workers begin no tasks.",
+			"Withdraw the evacuation when the zone may be used again."),
+
+	/** An order to withdraw an evacuation was stored on a quorum. */
+	FLEET_EVACUATION_WITHDRAWN(6035, System.Logger.Level.INFO,
+			"An order to withdraw the evacuation of an availability zone was stored on a quorum.", "Nothing to do."),
+
+	/** An order about an evacuation was refused. */
+	FLEET_EVACUATION_REFUSED(6036, System.Logger.Level.WARNING,
+			"An order about the evacuation of an availability zone was refused and changed nothing.",
+			"See the reason field: correct the name of the zone, withdraw other evacuations or send the order again.");
 
 	private final int number;
 
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
@@ -149,7 +149,11 @@
 
 	/** Reported ends of runs that are not the current ones, by outcome. */
 	FLEET_ENDS_IGNORED(Type.COUNTER, "verbenatrack.fleet.ends.ignored", "",
-			"Reported ends of runs that are not the current ones of their tasks, by outcome.", "outcome");
+			"Reported ends of runs that are not the current ones of their tasks, by outcome.", "outcome"),
+
+	/** 1 while a zone is evacuated, otherwise 0, by zone. */
+	FLEET_ZONES_EVACUATED(Type.GAUGE, "verbenatrack.fleet.zones.evacuated", "",
+			"1 while an availability zone is evacuated, else 0, by zone.", "zone");
 
 	private final Type type;
 
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/Metrics.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/Metrics.java
@@ -1,11 +1,14 @@
 package io.verbenatrack.telemetry;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.stream.Stream;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tag;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
@@ -84,6 +87,23 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Registers a gauge whose label values change over time.
+	 * @param name the metric, which has one label
+	 * @return sets the current values by label value, and removes those of label values
+	 * that are no longer given
+	 */
+	public Consumer<Map<String, Double>> gaugeByLabel(MetricName name) {
+		MultiGauge gauges = MultiGauge.builder(name.meterName())
+			.baseUnit(unit(name))
+			.description(name.description())
+			.register(this.registry);
+		return (values) -> gauges.register(values.entrySet()
+			.stream()
+			.map((entry) -> MultiGauge.Row.of(tags(name, MetricName.Type.GAUGE, entry.getKey()), entry.getValue()))
+			.toList(), true);
+	}
+
 	/**
 	 * Returns the current values of all metrics.
 	 * @return the values in the Prometheus text format, version 0.0.4
