--- a/cli/src/main/java/io/verbenatrack/cli/explain/LogTimeline.java
+++ b/cli/src/main/java/io/verbenatrack/cli/explain/LogTimeline.java
@@ -8,7 +8,6 @@
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -20,7 +19,8 @@
 
 /**
  * Merges the log lines of several instances that contain one id, together with lines from
- * the same period that concern the cluster or the workers involved.
+ * the same period that concern the cluster or the workers involved, and the evacuations
+ * of availability zones that concern the job.
  */
 public final class LogTimeline {
 
@@ -42,6 +42,8 @@
 
 	private final List<LogLine> context = new ArrayList<>();
 
+	private final Evacuations evacuations = new Evacuations();
+
 	/**
 	 * Creates an empty timeline.
 	 * @param id the id of the job or request
@@ -81,6 +83,7 @@
 	}
 
 	private void add(LogLine line) {
+		this.evacuations.add(line);
 		if (line.fields().toString().contains(this.id)) {
 			this.matching.add(line);
 		}
@@ -109,19 +112,20 @@
 		Instant first = this.matching.getFirst().time().minus(MINIMUM_GAP);
 		Instant last = this.matching.getLast().time().plus(MINIMUM_GAP);
 		Set<String> workers = new HashSet<>();
-		this.matching.forEach((line) -> workers.add(line.fields().path("worker").asText()));
+		this.matching.forEach((line) -> workers.add(line.text("worker")));
 		List<LogLine> timeline = new ArrayList<>(this.matching);
 		this.context.stream()
 			.filter((line) -> !line.time().isBefore(first) && !line.time().isAfter(last))
 			.filter((line) -> CLUSTER_EVENTS.contains(line.name()) || isWorkerEvent(line, workers))
 			.forEach(timeline::add);
+		timeline.addAll(this.evacuations.concerning(this.matching, first, last));
 		timeline.sort(LogLine.BY_TIME);
 		return format(timeline);
 	}
 
 	// Excludes events of other jobs that run on the same worker.
 	private static boolean isWorkerEvent(LogLine line, Set<String> workers) {
-		return workers.contains(line.fields().path("worker").asText()) && !line.fields().has("job");
+		return workers.contains(line.text("worker")) && !line.fields().has("job");
 	}
 
 	private static List<String> format(List<LogLine> timeline) {
@@ -138,13 +142,4 @@
 		return texts;
 	}
 
-	// The sequence number keeps lines with equal timestamps in the order in which they
-	// were read.
-	private record LogLine(Instant time, int sequence, String source, String name, JsonNode fields) {
-
-		static final Comparator<LogLine> BY_TIME = Comparator.comparing(LogLine::time)
-			.thenComparingInt(LogLine::sequence);
-
-	}
-
 }
--- a/cli/src/test/java/io/verbenatrack/cli/explain/LogTimelineTests.java
+++ b/cli/src/test/java/io/verbenatrack/cli/explain/LogTimelineTests.java
@@ -69,6 +69,23 @@
 		assertThat(lines.get(1)).contains("\"term\":3");
 	}
 
+	// Guards against a job that stops or waits for an evacuation that the timeline hides,
+	// and against those of zones that do not concern it.
+	@Test
+	public void evacuationsOfTheZonesOfTheJobAreShown() throws IOException {
+		String run = "\"job\":\"" + JOB + "\",\"worker\":\"w-1\"";
+		String log = event("01.000", "FLEET_WORKER_JOINED", "\"worker\":\"w-1\",\"zone\":\"z-1\"") + "\n"
+				+ event("20.000", "FLEET_RUN_STARTED", run) + "\n"
+				+ event("20.010", "FLEET_ZONE_EVACUATED", "\"zone\":\"z-1\"") + "\n"
+				+ event("20.020", "FLEET_RUN_GIVEN_UP", run) + "\n"
+				+ event("02.000", "FLEET_ZONE_EVACUATED", "\"zone\":\"z-2\"") + "\n"
+				+ event("03.000", "FLEET_ZONE_EVACUATED", "\"zone\":\"z-3\"") + "\n"
+				+ event("04.000", "FLEET_EVACUATION_WITHDRAWN", "\"zone\":\"z-3\"");
+		assertThat(timeline(log)).hasSize(3).element(1).asString().contains("z-1");
+		String waits = event("20.030", "FLEET_JOB_WAITS", "\"job\":\"" + JOB + "\"");
+		assertThat(timeline(log + "\n" + waits)).hasSize(6).first().asString().contains("z-2");
+	}
+
 	@Test
 	public void missingIdIsReported() throws IOException {
 		assertThat(timeline(event("01.000", "FLEET_LEADER_BEGAN", "\"term\":2"))).singleElement()
