Use forecast run times for order, outlook, reservations and drains

The callers' estimates are off by up to a factor of 2.5, and all decisions of the policy read them directly.

Read the RunForecast instead. JobForecast computes the run times of a job once for a pass. The median takes the place of the estimate in the order of waiting steps, their outlook and objective, the work that a victim loses, and the wait for the rack of the data. The cautious quantile is used for reservations, backfill and the runs of draining workers. The outlook reckons with the whole median where it was learned, and with 0.8 of the estimate otherwise. RunForecast.DECLARED rounds the remaining time as the policy did before.

--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/DeclaredForecast.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/DeclaredForecast.java
@@ -18,7 +18,7 @@
 	@Override
 	public long remainingMillis(TaskId task, int run, RunClass runClass, long estimatedMillis, int percent,
 			Quantile quantile) {
-		return Math.max(0, estimatedMillis - estimatedMillis * percent / WHOLE_PERCENT);
+		return Math.max(0, estimatedMillis * (WHOLE_PERCENT - percent) / WHOLE_PERCENT);
 	}
 
 	@Override
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/CandidateWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/CandidateWorker.java
@@ -103,8 +103,8 @@
 	 * @param priority the priority of its queue
 	 * @param lostWorkMillis the work that stopping the task would discard, in
 	 * milliseconds of run time weighted by its resources
-	 * @param remainingMillis the remaining run time in milliseconds, by the caller's
-	 * estimate; {@link #NEVER_ENDS} for a task that lasts
+	 * @param remainingMillis the remaining run time in milliseconds that few runs exceed;
+	 * {@link #NEVER_ENDS} for a task that lasts
 	 */
 	record RunningTask(TaskId task, Resources room, int priority, double lostWorkMillis, long remainingMillis) {
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/CompletionOutlook.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/CompletionOutlook.java
@@ -21,13 +21,14 @@
 	private static final int LATE_FACTOR = 3;
 
 	/**
-	 * Share of the estimated run time to assume; estimates are sometimes off by this
-	 * much.
+	 * Share of the callers' estimates to assume, as they are sometimes off by this much.
+	 * The median of observed runs needs no such correction.
 	 */
 	private static final double ESTIMATE_FACTOR = 0.8;
 
 	static CompletionOutlook of(PendingStep step, long nowMillis) {
-		long end = nowMillis - step.readyMillis() + (long) (ESTIMATE_FACTOR * step.criticalPathMillis());
+		double factor = step.forecast().learned() ? 1 : ESTIMATE_FACTOR;
+		long end = nowMillis - step.readyMillis() + (long) (factor * step.criticalPathMillis());
 		long objective = step.objectiveMillis();
 		if (end <= objective) {
 			return IN_TIME;
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Eligibility.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Eligibility.java
@@ -23,7 +23,7 @@
 	 */
 	private static final long MAX_AVOIDANCE_NANOS = Duration.ofSeconds(2).toNanos();
 
-	/** Longer than the usual estimates, for which waiting is the better choice. */
+	/** Longer than the usual run times, for which waiting is the better choice. */
 	private static final long MAX_DATA_RACK_WAIT_MILLIS = 10_000;
 
 	private final StalledRunMover runMover;
@@ -148,7 +148,7 @@
 	}
 
 	private boolean onAcceptedRack(PendingStep step, CandidateWorker candidate) {
-		long maxWaitMillis = Math.min(step.spec().estimatedMillis(), MAX_DATA_RACK_WAIT_MILLIS);
+		long maxWaitMillis = Math.min(step.medianMillis(), MAX_DATA_RACK_WAIT_MILLIS);
 		return this.nowMillis - step.readyMillis() >= maxWaitMillis || onDataRack(step.spec(), candidate);
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.verbenatrack.fleet.forecast.Quantile;
 import io.verbenatrack.fleet.forecast.RunForecast;
 import io.verbenatrack.fleet.model.HeartbeatResponse;
 import io.verbenatrack.fleet.model.JobPhase;
@@ -46,8 +47,6 @@
 	 */
 	private static final int MAX_LISTED_ENDS = 500;
 
-	private static final int WHOLE_PERCENT = 100;
-
 	/** Time for a command that removes ended jobs. */
 	private static final Duration MIN_ROOM_RETRY = Duration.ofSeconds(1);
 
@@ -72,7 +71,7 @@
 
 	private final JobRetention retention;
 
-	private final RunForecast forecast = RunForecast.DECLARED;
+	private final RunForecast forecast;
 
 	/**
 	 * Starts that no response has carried yet, so that their workers do not know of them.
@@ -100,7 +99,20 @@
 	 * @param now the start of the term
 	 */
 	public FleetScheduler(FleetState state, FleetTimings timings, long term, GrantedTime now) {
+		this(state, timings, RunForecast.DECLARED, term, now);
+	}
+
+	/**
+	 * Creates the scheduler for a term, with a forecast of run times.
+	 * @param state the replicated state, which must not change during a decision
+	 * @param timings the timing parameters
+	 * @param forecast forecasts the run times of tasks and the speeds of workers
+	 * @param term the term, which is the fencing token of all responses
+	 * @param now the start of the term
+	 */
+	public FleetScheduler(FleetState state, FleetTimings timings, RunForecast forecast, long term, GrantedTime now) {
 		this.state = state;
+		this.forecast = forecast;
 		this.timings = timings;
 		this.term = term;
 		this.startNanos = now.nanos();
@@ -465,8 +477,9 @@
 			.isPresent();
 	}
 
-	private static long remainingMillis(TrackedWorker worker, TaskId task, StepState step) {
-		return step.spec().estimatedMillis() * (WHOLE_PERCENT - worker.percent(task)) / WHOLE_PERCENT;
+	private long remainingMillis(TrackedWorker worker, TaskId task, StepState step) {
+		JobState job = this.state.job(task.job()).orElseThrow();
+		return RunProgress.of(this.forecast, job, step, task, worker).remainingMillis(Quantile.CAUTIOUS);
 	}
 
 	private HeartbeatResponse.Start start(TaskId task, int run) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingStep.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingStep.java
@@ -21,9 +21,10 @@
  * @param waiting the indexes of the waiting tasks
  * @param readyMillis when the job was accepted or the occurrence was due, whichever is
  * later, in milliseconds since the epoch
+ * @param forecast the forecast run times of the job
  */
 record PendingStep(JobState job, Queue queue, int occurrence, int number, StepState step, List<Integer> waiting,
-		long readyMillis) {
+		long readyMillis, JobForecast forecast) {
 
 	StepSpec spec() {
 		return this.step.spec();
@@ -34,53 +35,45 @@
 	}
 
 	/**
-	 * Returns the estimated work of the waiting tasks, weighted by their resources.
+	 * Returns the expected work of the waiting tasks, weighted by their resources.
 	 * @return the work in accelerator milliseconds; a core counts as an eighth of an
 	 * accelerator
 	 */
 	double work() {
-		return (double) this.waiting.size() * this.spec().estimatedMillis() * weight(this.spec());
+		return (double) this.waiting.size() * medianMillis() * weight(this.spec());
+	}
+
+	/**
+	 * Returns the median run time of a task on a worker of nominal speed.
+	 * @return the time in milliseconds
+	 */
+	long medianMillis() {
+		return this.forecast.medianMillis(this.number);
+	}
+
+	/**
+	 * Returns the run time on a worker of nominal speed that few tasks exceed.
+	 * @return the time in milliseconds
+	 */
+	long cautiousMillis() {
+		return this.forecast.cautiousMillis(this.number);
 	}
 
 	/**
 	 * Returns the length of the critical path from this step to the end of the job.
-	 * @return the estimated run time in milliseconds
+	 * @return the median run time in milliseconds
 	 */
 	long criticalPathMillis() {
-		List<StepSpec> steps = this.job.plan().steps();
-		long[] pathMillis = new long[steps.size()];
-		long longest = 0;
-		for (int number = this.number; number < steps.size(); number++) {
-			boolean first = number == this.number;
-			long longestBefore = 0;
-			for (int dependency : steps.get(number).after()) {
-				longestBefore = Math.max(longestBefore, pathMillis[dependency]);
-			}
-			if (first || longestBefore > 0) {
-				pathMillis[number] = longestBefore + Math.max(1, steps.get(number).estimatedMillis());
-				longest = Math.max(longest, pathMillis[number]);
-			}
-		}
-		return longest;
+		return this.forecast.criticalPathMillis(this.number);
 	}
 
 	/**
 	 * Returns the completion objective of the job: the maximum time from
 	 * {@link #readyMillis} to its end.
-	 * @return the objective in milliseconds, based on the caller's estimates
+	 * @return the objective in milliseconds
 	 */
 	long objectiveMillis() {
-		long[] pathMillis = new long[this.job.plan().steps().size()];
-		long longest = 0;
-		for (int number = 0; number < pathMillis.length; number++) {
-			StepSpec step = this.job.plan().steps().get(number);
-			for (int dependency : step.after()) {
-				pathMillis[number] = Math.max(pathMillis[number], pathMillis[dependency]);
-			}
-			pathMillis[number] += step.estimatedMillis();
-			longest = Math.max(longest, pathMillis[number]);
-		}
-		return (long) (this.queue.stretch() * longest) + this.queue.latencyMillis();
+		return this.forecast.objectiveMillis();
 	}
 
 	static double weight(StepSpec spec) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingStepOrder.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingStepOrder.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import io.verbenatrack.fleet.forecast.RunForecast;
 import io.verbenatrack.fleet.model.Queue;
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.fleet.state.JobState;
@@ -34,11 +35,12 @@
 	private PendingStepOrder() {
 	}
 
-	static List<PendingStep> sorted(FleetState state, Predicate<PendingStep> guaranteed, long nowMillis) {
+	static List<PendingStep> sorted(FleetState state, RunForecast forecast, Predicate<PendingStep> guaranteed,
+			long nowMillis) {
 		List<PendingStep> pending = new ArrayList<>();
 		for (JobState job : state.unfinishedJobs()) {
 			Optional<Queue> queue = state.queueOf(job);
-			queue.ifPresent((known) -> collect(job, known, nowMillis, pending));
+			queue.ifPresent((known) -> collect(job, known, forecast, nowMillis, pending));
 		}
 		return pending.stream()
 			.map((step) -> new Ranked(step, guaranteed.test(step), CompletionOutlook.of(step, nowMillis), step.work()))
@@ -47,7 +49,9 @@
 			.toList();
 	}
 
-	private static void collect(JobState job, Queue queue, long nowMillis, List<PendingStep> pending) {
+	private static void collect(JobState job, Queue queue, RunForecast runForecast, long nowMillis,
+			List<PendingStep> pending) {
+		JobForecast forecast = null;
 		int waitingOccurrences = 0;
 		for (int occurrence = job.nextOpenOccurrence(0); occurrence < job.plan().occurrences()
 				&& waitingOccurrences < MAX_WAITING_OCCURRENCES; occurrence = job.nextOpenOccurrence(occurrence + 1)) {
@@ -60,7 +64,8 @@
 				StepState step = job.step(occurrence, number);
 				List<Integer> waiting = waiting(step);
 				if (!waiting.isEmpty() && job.dependenciesDone(occurrence, number)) {
-					pending.add(new PendingStep(job, queue, occurrence, number, step, waiting, ready));
+					forecast = (forecast != null) ? forecast : JobForecast.of(job, queue, runForecast);
+					pending.add(new PendingStep(job, queue, occurrence, number, step, waiting, ready, forecast));
 				}
 			}
 			waitingOccurrences += (pending.size() > pendingBefore) ? 1 : 0;
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.verbenatrack.fleet.forecast.Quantile;
 import io.verbenatrack.fleet.forecast.RunForecast;
 import io.verbenatrack.fleet.model.Resources;
 import io.verbenatrack.fleet.model.StepSpec;
@@ -130,9 +131,10 @@
 		int priority = this.state.queueOf(job).map((queue) -> queue.priority()).orElse(0);
 		StepSpec spec = step.get().spec();
 		boolean stops = this.stopping.contains(task) || this.history.runMover().isMoving(task);
-		double done = spec.estimatedMillis() * candidate.worker().percent(task) / 100.0;
+		RunProgress progress = RunProgress.of(this.forecast, job, step.get(), task, candidate.worker());
+		double done = progress.doneMillis();
 		long remaining = spec.lasting() ? CandidateWorker.RunningTask.NEVER_ENDS
-				: (long) Math.max(0, spec.estimatedMillis() - done);
+				: progress.remainingMillis(Quantile.CAUTIOUS);
 		int affectedTasks = spec.gang() ? spec.count() : 1;
 		// Tasks that already stop cost nothing, so that the preemption plan stays stable.
 		double lostWork = stops ? 0 : spec.checkpoints() ? 1 : 1 + done * affectedTasks * PendingStep.weight(spec);
@@ -143,7 +145,7 @@
 		countGuaranteedUse();
 		this.history.waitTimers().beginPass();
 		this.history.idleWaitTimers().beginPass();
-		for (PendingStep step : PendingStepOrder.sorted(this.state, this::guaranteed, this.nowMillis)) {
+		for (PendingStep step : PendingStepOrder.sorted(this.state, this.forecast, this::guaranteed, this.nowMillis)) {
 			this.eligibility.recordWaiting(step);
 			List<CandidateWorker> candidates = this.candidatesByService.getOrDefault(step.queue().service(), List.of());
 			if (step.spec().gang()) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
@@ -118,7 +118,7 @@
 	 */
 	boolean allows(CandidateWorker candidate, PendingStep step, long nowMillis) {
 		Long start = this.freeAtMillis.get(candidate);
-		return start == null || nowMillis + step.spec().estimatedMillis() <= start;
+		return start == null || nowMillis + step.cautiousMillis() <= start;
 	}
 
 	private record Availability(CandidateWorker candidate, long atMillis, int fittingTasks) {
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/SchedulerFixture.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/SchedulerFixture.java
@@ -6,6 +6,7 @@
 import org.testng.annotations.BeforeMethod;
 
 import io.verbenatrack.fleet.Fixtures;
+import io.verbenatrack.fleet.forecast.RunForecast;
 import io.verbenatrack.fleet.model.HeartbeatResponse;
 import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.ReportedEnd;
@@ -36,6 +37,8 @@
 
 	FleetScheduler scheduler;
 
+	RunForecast forecast = RunForecast.DECLARED;
+
 	long term;
 
 	long sequence;
@@ -57,7 +60,7 @@
 	void startNextTerm() {
 		this.term++;
 		this.sequence = 0;
-		this.scheduler = new FleetScheduler(this.state, TIMINGS, this.term, time());
+		this.scheduler = new FleetScheduler(this.state, TIMINGS, this.forecast, this.term, time());
 	}
 
 	GrantedTime time() {
