Place gangs on workers of similar speed

A gang runs as fast as its slowest member, but workers were packed regardless of their speed. Where every fourth worker runs at 0.55 of the nominal speed, nearly every gang of 13 contained a slow worker and took twice as long.

SpeedTiers groups the workers of a service by speed, in steps of 1.25 around the median. Urgent steps take the fastest workers with room. Other steps take the slowest workers on which their outlook is as good as on the fastest. A gang takes workers of one tier where it can, and stays in one rack before it takes faster workers in several. A step that could start only on slower workers waits if it ends sooner on faster ones, which are then reserved for it; the wait is limited to the time that they save. Guaranteed steps do not wait. Reservations go to the workers on which the gang ends first.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/CandidateWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/CandidateWorker.java
@@ -19,6 +19,9 @@
 	/** A report that lists more runs than this would be refused for its size. */
 	private static final int MAX_RUNS = 8000;
 
+	/** A stuck worker makes no progress, but run times must remain finite. */
+	private static final double MIN_SPEED = 0.01;
+
 	private final TrackedWorker worker;
 
 	private final List<RunningTask> runningTasks = new ArrayList<>();
@@ -29,8 +32,18 @@
 
 	private boolean reserved;
 
-	CandidateWorker(TrackedWorker worker) {
+	private final double speed;
+
+	private int tier;
+
+	/**
+	 * Creates a candidate.
+	 * @param worker the worker
+	 * @param speed its speed relative to the nominal speed
+	 */
+	CandidateWorker(TrackedWorker worker, double speed) {
 		this.worker = worker;
+		this.speed = Math.max(MIN_SPEED, speed);
 		this.free = worker.report().room();
 	}
 
@@ -42,6 +55,22 @@
 		return this.worker.report().rack();
 	}
 
+	double speed() {
+		return this.speed;
+	}
+
+	void assignTier(int assigned) {
+		this.tier = assigned;
+	}
+
+	/**
+	 * Returns the tier of the speed of the worker.
+	 * @return the tier, 0 for the fastest
+	 */
+	int tier() {
+		return this.tier;
+	}
+
 	Resources free() {
 		return this.free;
 	}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/CompletionOutlook.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/CompletionOutlook.java
@@ -27,8 +27,20 @@
 	private static final double ESTIMATE_FACTOR = 0.8;
 
 	static CompletionOutlook of(PendingStep step, long nowMillis) {
+		return of(step, nowMillis, 1);
+	}
+
+	/**
+	 * Returns the outlook of a step that starts on workers of a given speed.
+	 * @param step the step
+	 * @param startMillis when it starts, in milliseconds since the epoch
+	 * @param speed the speed of the workers relative to the nominal speed
+	 * @return the outlook if the later steps of its job run at nominal speed
+	 */
+	static CompletionOutlook of(PendingStep step, long startMillis, double speed) {
 		double factor = step.forecast().learned() ? 1 : ESTIMATE_FACTOR;
-		long end = nowMillis - step.readyMillis() + (long) (factor * step.criticalPathMillis());
+		double pathMillis = step.criticalPathMillis() + step.medianMillis() * (1 / speed - 1);
+		long end = startMillis - step.readyMillis() + (long) (factor * pathMillis);
 		long objective = step.objectiveMillis();
 		if (end <= objective) {
 			return IN_TIME;
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingStep.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PendingStep.java
@@ -26,6 +26,16 @@
 record PendingStep(JobState job, Queue queue, int occurrence, int number, StepState step, List<Integer> waiting,
 		long readyMillis, JobForecast forecast) {
 
+	/**
+	 * Returns the step with only some of its waiting tasks.
+	 * @param tasks the indexes of the tasks
+	 * @return the step
+	 */
+	PendingStep withWaiting(List<Integer> tasks) {
+		return new PendingStep(this.job, this.queue, this.occurrence, this.number, this.step, tasks, this.readyMillis,
+				this.forecast);
+	}
+
 	StepSpec spec() {
 		return this.step.spec();
 	}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -70,9 +70,13 @@
 
 	private final Map<ServiceId, List<CandidateWorker>> candidatesByService = new LinkedHashMap<>();
 
+	private final Map<ServiceId, SpeedTiers> tiersByService = new HashMap<>();
+
+	private final FasterStart fasterStart;
+
 	private final Map<ServiceId, ServiceUse> useByService = new HashMap<>();
 
-	private final Set<TaskId> waitingGangs = new HashSet<>();
+	private final Set<TaskId> reserving = new HashSet<>();
 
 	private final List<FleetCommand.StartRun> starts = new ArrayList<>();
 
@@ -91,6 +95,7 @@
 		this.waitingBefore = waitingBefore;
 		this.reservations = new Reservations(history.reservationHolds());
 		this.eligibility = new Eligibility(history.runMover(), history.waitTimers(), nowNanos, nowMillis);
+		this.fasterStart = new FasterStart(this.reservations, nowNanos, nowMillis);
 		this.stopping = stopping;
 		this.state = state;
 		this.timings = timings;
@@ -104,11 +109,14 @@
 				this.rackSizes.merge(worker.report().rack(), 1, Integer::sum);
 			}
 		}
-		this.candidatesByService.forEach((service, found) -> this.useByService.put(service, ServiceUse.of(found)));
+		this.candidatesByService.forEach((service, found) -> {
+			this.useByService.put(service, ServiceUse.of(found));
+			this.tiersByService.put(service, SpeedTiers.assign(found));
+		});
 	}
 
 	private CandidateWorker candidate(TrackedWorker worker) {
-		CandidateWorker candidate = new CandidateWorker(worker);
+		CandidateWorker candidate = new CandidateWorker(worker, this.forecast.speed(worker.incarnation()));
 		Map<TaskId, Integer> known = this.state.runsOn(worker.incarnation());
 		known.forEach((task, run) -> addRunning(candidate, task));
 		worker.report()
@@ -157,7 +165,7 @@
 		}
 		this.history.waitTimers().endPass();
 		this.history.idleWaitTimers().endPass();
-		this.history.reservationHolds().retain(this.waitingGangs);
+		this.history.reservationHolds().retain(this.reserving);
 	}
 
 	private void countGuaranteedUse() {
@@ -195,25 +203,49 @@
 		}
 		List<CandidateWorker> eligible = this.eligibility.forGang(step, candidates);
 		List<CandidateWorker> preferred = this.eligibility.preferred(step, eligible);
-		Optional<Map<Integer, CandidateWorker>> found = findPlaces(step, preferred);
+		SpeedPreference speeds = speeds(step);
+		Optional<Map<Integer, CandidateWorker>> found = findPlaces(step, speeds, preferred);
 		if (found.isEmpty() && preferred.size() < eligible.size()) {
-			found = findPlaces(step, eligible);
+			found = findPlaces(step, speeds, eligible);
+		}
+		if (found.isPresent() && waitsForFaster(step, speeds, found.get().values(), eligible, use)) {
+			this.reserving.add(step.task(0));
+			recordWaiting(step, candidates);
 		}
-		if (found.isPresent()) {
+		else if (found.isPresent()) {
 			int run = step.step().nextGangRun();
 			found.get().forEach((index, candidate) -> start(step, index, run, candidate));
 		}
 		else {
-			this.waitingGangs.add(step.task(0));
+			this.reserving.add(step.task(0));
 			recordWaiting(step, candidates);
 			if (!preempt(step, candidates)) {
-				this.reservations.reserve(step, eligible, use, this.nowNanos, this.nowMillis);
+				this.reservations.reserve(step, eligible, use, this.nowNanos, this.nowMillis, Long.MAX_VALUE);
 			}
 		}
 	}
 
-	private Optional<Map<Integer, CandidateWorker>> findPlaces(PendingStep step, List<CandidateWorker> eligible) {
-		return new GangPlacer(eligible, this.reservations, this.nowMillis).place(step, mayBeSpread(step));
+	private Optional<Map<Integer, CandidateWorker>> findPlaces(PendingStep step, SpeedPreference speeds,
+			List<CandidateWorker> eligible) {
+		return new GangPlacer(eligible, this.reservations, this.nowMillis).place(step, speeds, mayBeSpread(step));
+	}
+
+	private SpeedPreference speeds(PendingStep step) {
+		SpeedTiers tiers = this.tiersByService.getOrDefault(step.queue().service(), SpeedTiers.NONE);
+		return SpeedPreference.of(step, tiers, this.nowMillis);
+	}
+
+	// A guaranteed step starts wherever it can.
+	private boolean waitsForFaster(PendingStep step, SpeedPreference speeds, Collection<CandidateWorker> found,
+			Collection<CandidateWorker> eligible, ServiceUse use) {
+		if (guaranteed(step)) {
+			return false;
+		}
+		long waitedMillis = step.spec().gang()
+				? Duration.ofNanos(this.history.waitTimers().waitedNanos(step.task(0), this.nowNanos)).toMillis()
+				: waitedMillis(step);
+		return this.fasterStart.reserveIfSooner(step, speeds, SpeedPreference.slowestTier(found), eligible, use,
+				waitedMillis);
 	}
 
 	private boolean mayBeSpread(PendingStep step) {
@@ -225,9 +257,20 @@
 
 	private void placeTasks(PendingStep step, Collection<CandidateWorker> candidates) {
 		Map<CandidateWorker, Integer> used = new HashMap<>();
+		SpeedPreference speeds = speeds(step);
 		boolean allPlaced = true;
-		for (int index : step.waiting()) {
-			Optional<CandidateWorker> candidate = chooseWorker(step, index, candidates, used);
+		boolean mayWait = true;
+		for (int position = 0; position < step.waiting().size(); position++) {
+			int index = step.waiting().get(position);
+			Optional<CandidateWorker> candidate = chooseWorker(step, index, candidates, speeds, used);
+			if (mayWait && candidate.filter((found) -> !speeds.suits(found.tier())).isPresent()) {
+				// The other tasks of the step do not find faster workers either.
+				mayWait = false;
+				if (restWaitsForFaster(step, position, candidate.get(), candidates, speeds)) {
+					recordWaiting(step, candidates);
+					return;
+				}
+			}
 			if (candidate.isPresent()) {
 				used.merge(candidate.get(), 1, Integer::sum);
 				start(step, index, step.step().tasks().get(index).run() + 1, candidate.get());
@@ -247,8 +290,19 @@
 		}
 	}
 
+	private boolean restWaitsForFaster(PendingStep step, int position, CandidateWorker found,
+			Collection<CandidateWorker> candidates, SpeedPreference speeds) {
+		PendingStep rest = step.withWaiting(step.waiting().subList(position, step.waiting().size()));
+		ServiceUse use = this.useByService.getOrDefault(step.queue().service(), ServiceUse.NONE);
+		boolean waits = waitsForFaster(rest, speeds, List.of(found), this.eligibility.forStep(rest, candidates), use);
+		if (waits) {
+			this.reserving.add(step.task(0));
+		}
+		return waits;
+	}
+
 	private Optional<CandidateWorker> chooseWorker(PendingStep step, int index, Collection<CandidateWorker> candidates,
-			Map<CandidateWorker, Integer> used) {
+			SpeedPreference speeds, Map<CandidateWorker, Integer> used) {
 		StepSpec spec = step.spec();
 		return candidates.stream()
 			.filter((candidate) -> candidate.fits(spec))
@@ -258,6 +312,7 @@
 			.filter((candidate) -> used.getOrDefault(candidate, 0) < Eligibility.placesLeft(step, candidate))
 			.min(Comparator.comparing((CandidateWorker candidate) -> this.eligibility.avoids(step, index, candidate))
 				.thenComparing((candidate) -> !Eligibility.onDataRack(spec, candidate))
+				.thenComparingInt(speeds::rank)
 				.thenComparing(CandidateWorker::idle)
 				.thenComparingInt((candidate) -> this.rackSizes.get(candidate.rack()))
 				.thenComparingInt((candidate) -> candidate.free().accelerators())
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Reservations.java
@@ -13,7 +13,7 @@
 
 /**
  * Reserves workers for gangs that do not fit, following EASY backfill (Lifka, 1995): the
- * workers that become available first are reserved, and other steps may use them only if
+ * workers on which the gang ends first are reserved, and other steps may use them only if
  * they end before. Without reservations a stream of small tasks starves wide gangs.
  */
 final class Reservations {
@@ -43,21 +43,29 @@
 	 * @param service the use of its service
 	 * @param nowNanos the time in nanoseconds of the monotonic clock
 	 * @param nowMillis the time in milliseconds since the epoch
+	 * @param latestStartMillis when the gang must be able to start, in milliseconds since
+	 * the epoch
+	 * @return whether workers are reserved
 	 */
-	void reserve(PendingStep step, Collection<CandidateWorker> eligible, ServiceUse service, long nowNanos,
-			long nowMillis) {
+	boolean reserve(PendingStep step, Collection<CandidateWorker> eligible, ServiceUse service, long nowNanos,
+			long nowMillis, long latestStartMillis) {
 		int maxReservations = Math.max(MIN_RESERVATIONS, service.workers() / WORKERS_PER_RESERVATION);
 		if (this.reservationCount >= maxReservations
 				|| CompletionOutlook.of(step, nowMillis) == CompletionOutlook.MISSED) {
-			return;
+			return false;
 		}
-		firstWindow(step, eligible, nowMillis).filter((window) -> {
+		Optional<Window> reserved = firstWindow(step, eligible, nowMillis).filter((window) -> {
+			if (window.startMillis() > latestStartMillis) {
+				return false;
+			}
 			long expectedWaitNanos = Duration.ofMillis(window.startMillis() - nowMillis).toNanos();
 			return this.holds.mayReserve(step.task(0), expectedWaitNanos, service.mostlyIdle(), nowNanos);
-		}).ifPresent((window) -> {
+		});
+		reserved.ifPresent((window) -> {
 			this.reservationCount++;
 			window.workers().forEach((candidate) -> this.freeAtMillis.put(candidate, window.startMillis()));
 		});
+		return reserved.isPresent();
 	}
 
 	private Optional<Window> firstWindow(PendingStep step, Collection<CandidateWorker> eligible, long nowMillis) {
@@ -67,24 +75,40 @@
 		Collection<List<CandidateWorker>> groups = step.spec().rackSensitive() ? CandidateWorker.byRack(suitable)
 				: List.of(suitable);
 		return groups.stream()
-			.map((workers) -> window(step, workers, nowMillis))
-			.flatMap(Optional::stream)
-			.min(Comparator.comparingLong(Window::startMillis));
+			.flatMap((workers) -> windows(step, workers, nowMillis).stream())
+			.min(Comparator.comparingLong(Window::endMillis));
 	}
 
-	private static Optional<Window> window(PendingStep step, List<CandidateWorker> workers, long nowMillis) {
+	// Lists a window for each speed that the slowest worker may have. A gang runs as fast
+	// as its slowest member, so workers that are free later may let it end sooner.
+	private static List<Window> windows(PendingStep step, List<CandidateWorker> workers, long nowMillis) {
 		List<Availability> availabilities = new ArrayList<>();
 		for (CandidateWorker candidate : workers) {
 			firstAvailable(step.spec().room(), candidate, nowMillis).ifPresent(availabilities::add);
 		}
 		availabilities.sort(Comparator.comparingLong(Availability::atMillis));
+		return availabilities.stream()
+			.map((availability) -> availability.candidate().tier())
+			.distinct()
+			.map((slowest) -> window(step, availabilities, slowest))
+			.flatMap(Optional::stream)
+			.toList();
+	}
+
+	private static Optional<Window> window(PendingStep step, List<Availability> availabilities, int slowestTier) {
 		List<CandidateWorker> chosen = new ArrayList<>();
 		int fittingTasks = 0;
+		double speed = Double.MAX_VALUE;
 		for (Availability availability : availabilities) {
+			if (availability.candidate().tier() > slowestTier) {
+				continue;
+			}
 			chosen.add(availability.candidate());
+			speed = Math.min(speed, availability.candidate().speed());
 			fittingTasks += availability.fittingTasks();
 			if (fittingTasks >= step.waiting().size()) {
-				return Optional.of(new Window(chosen, availability.atMillis()));
+				long runMillis = (long) (step.medianMillis() / speed);
+				return Optional.of(new Window(chosen, availability.atMillis(), availability.atMillis() + runMillis));
 			}
 		}
 		return Optional.empty();
@@ -118,14 +142,14 @@
 	 */
 	boolean allows(CandidateWorker candidate, PendingStep step, long nowMillis) {
 		Long start = this.freeAtMillis.get(candidate);
-		return start == null || nowMillis + step.cautiousMillis() <= start;
+		return start == null || nowMillis + step.cautiousMillis() / candidate.speed() <= start;
 	}
 
 	private record Availability(CandidateWorker candidate, long atMillis, int fittingTasks) {
 
 	}
 
-	private record Window(List<CandidateWorker> workers, long startMillis) {
+	private record Window(List<CandidateWorker> workers, long startMillis, long endMillis) {
 
 	}
 
