Learn run times and worker speeds from the reports of the workers

Estimates of callers are off by factors, and workers differ in speed, so orders and reservations rest on wrong run times.

The observer of reports learns run times by queue and account, speeds by worker and the paces of runs in progress, and the scheduler's forecast combines them.

FleetTimings.withLearnedRunTimes(false) keeps the callers' estimates.

The accuracy is not measured yet.

--- /dev/null
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/StepTrack.java
@@ -0,0 +1,221 @@
+package io.verbenatrack.fleet.forecast;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+import io.verbenatrack.fleet.model.StepSpec;
+
+/**
+ * The runs in progress of a step, or of one run of a gang.
+ */
+final class StepTrack {
+
+	/** Runs of a step from whose paces the run time of its tasks is known. */
+	private static final int MIN_PACED = 4;
+
+	private static final double MIN_SPREAD = 0.1;
+
+	/** Standard deviation of a normal distribution over its mean absolute deviation. */
+	private static final double SIGMA_PER_DEVIATION = 1.25;
+
+	private final RunClass runClass;
+
+	private final double logEstimate;
+
+	private final StepSpec spec;
+
+	private final int gangRun;
+
+	private final List<WorkerModel> gangWorkers;
+
+	private final List<RunTrack> runs = new ArrayList<>();
+
+	private double expected;
+
+	private double expectedSpread;
+
+	private double prediction;
+
+	private double total;
+
+	private double spread;
+
+	private int paced;
+
+	private boolean sampled;
+
+	private boolean remote;
+
+	private WorkerModel slowest;
+
+	StepTrack(RunClass runClass, StepSpec spec, double logEstimate, int gangRun, List<WorkerModel> gangWorkers) {
+		this.runClass = runClass;
+		this.spec = spec;
+		this.logEstimate = logEstimate;
+		this.gangRun = gangRun;
+		this.gangWorkers = gangWorkers;
+		updateGang();
+	}
+
+	RunClass runClass() {
+		return this.runClass;
+	}
+
+	double logEstimate() {
+		return this.logEstimate;
+	}
+
+	boolean gang() {
+		return this.spec.gang();
+	}
+
+	int gangRun() {
+		return this.gangRun;
+	}
+
+	List<WorkerModel> gangWorkers() {
+		return this.gangWorkers;
+	}
+
+	List<RunTrack> runs() {
+		return this.runs;
+	}
+
+	/**
+	 * Returns the weight of a run as a sample of its class. The tasks of a step are
+	 * alike, so many of them tell little more than a few.
+	 * @return the weight, at most 1
+	 */
+	double sampleWeight() {
+		return gang() ? 1 : 1 / Math.sqrt(this.spec.count());
+	}
+
+	/**
+	 * Sets what is expected of its runs before they tell it themselves.
+	 * @param logTotal the logarithm of the run time at speed 1
+	 * @param logSpread the standard deviation of this logarithm
+	 * @param learned the logarithm that was learned, whether or not it is in use
+	 */
+	void expect(double logTotal, double logSpread, double learned) {
+		this.expected = logTotal;
+		this.expectedSpread = Math.max(MIN_SPREAD, logSpread);
+		this.prediction = learned;
+	}
+
+	double prediction() {
+		return this.prediction;
+	}
+
+	/**
+	 * Moves all run times when the speed 1 becomes that of other workers.
+	 * @param offset the difference of the logarithms
+	 */
+	void shift(double offset) {
+		this.expected += offset;
+		this.prediction += offset;
+		this.total += offset;
+	}
+
+	/**
+	 * Returns whether the runs of the step tell how long its tasks take.
+	 * @return whether enough of them have made progress
+	 */
+	boolean known() {
+		return this.paced >= MIN_PACED;
+	}
+
+	int paced() {
+		return this.paced;
+	}
+
+	/**
+	 * Returns the run time that the step's runs in progress tell, or what was expected.
+	 * @return the logarithm of the run time at speed 1
+	 */
+	double logTotal() {
+		return known() ? this.total : this.expected;
+	}
+
+	double logSpread() {
+		return known() ? this.spread : this.expectedSpread;
+	}
+
+	/**
+	 * Derives the run time of the tasks from the paces of the runs in progress.
+	 * @param scratch room for as many numbers as there are runs
+	 */
+	void updateTotal(double[] scratch) {
+		this.paced = 0;
+		for (RunTrack run : this.runs) {
+			if (run.paced() && !run.remote()) {
+				scratch[this.paced++] = run.logPace() + run.logSpeed();
+			}
+		}
+		if (this.paced == 0) {
+			return;
+		}
+		Arrays.sort(scratch, 0, this.paced);
+		this.total = (scratch[(this.paced - 1) / 2] + scratch[this.paced / 2]) / 2;
+		double deviation = 0;
+		for (int index = this.paced / 4; index < this.paced - this.paced / 4; index++) {
+			deviation += Math.abs(scratch[index] - this.total);
+		}
+		int counted = this.paced - 2 * (this.paced / 4);
+		// The middle half of a normal distribution deviates half as much as the whole.
+		this.spread = Math.max(MIN_SPREAD, 2 * SIGMA_PER_DEVIATION * deviation / counted);
+	}
+
+	double pacedTotal() {
+		return this.total;
+	}
+
+	/**
+	 * Updates which member slows the gang down, and whether it is spread over racks or
+	 * away from its data.
+	 */
+	void updateGang() {
+		this.slowest = null;
+		String rack = null;
+		this.remote = false;
+		for (WorkerModel worker : this.gangWorkers) {
+			if (this.slowest == null || worker.logSpeed() < this.slowest.logSpeed()) {
+				this.slowest = worker;
+			}
+			if (!worker.rack().isEmpty()) {
+				this.remote |= isRemote(worker.rack())
+						|| (this.spec.rackSensitive() && rack != null && !rack.equals(worker.rack()));
+				rack = worker.rack();
+			}
+		}
+	}
+
+	boolean isRemote(String rack) {
+		Optional<String> dataRack = this.spec.dataRack();
+		return dataRack.isPresent() && !dataRack.get().equals(rack);
+	}
+
+	boolean gangRemote() {
+		return this.remote;
+	}
+
+	WorkerModel slowest() {
+		return this.slowest;
+	}
+
+	/**
+	 * Marks the gang as a sample, which it is only once.
+	 * @return whether it was not marked before
+	 */
+	boolean markSampled() {
+		boolean first = !this.sampled;
+		this.sampled = true;
+		return first;
+	}
+
+	boolean sampled() {
+		return this.sampled;
+	}
+
+}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import io.verbenatrack.fleet.forecast.ForecastEvent;
 import io.verbenatrack.fleet.model.ReportedEnd;
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
@@ -129,6 +130,15 @@
 
 	}
 
+	/**
+	 * The expected run times or worker speeds have changed.
+	 *
+	 * @param change the change
+	 */
+	record ForecastChanged(ForecastEvent change) implements FleetEvent {
+
+	}
+
 	/**
 	 * A job waits because no eligible workers have enough free resources for it.
 	 *
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -72,7 +72,9 @@
 
 	private final JobRetention retention;
 
-	private final RunForecast forecast = RunForecast.DECLARED;
+	private final RunLearning learning;
+
+	private final RunForecast forecast;
 
 	/**
 	 * Starts that no response has carried yet, so that their workers do not know of them.
@@ -105,6 +107,8 @@
 		this.term = term;
 		this.startNanos = now.nanos();
 		this.registry = new WorkerRegistry(now.nanos(), timings);
+		this.learning = new RunLearning(state, timings, now);
+		this.forecast = this.learning.forecast();
 		this.runMover = new StalledRunMover(state, this.registry, this.forecast);
 		this.placementHistory = new PlacementHistory(this.runMover);
 		this.retention = new JobRetention(timings.endedJobRetention(), now.nanos());
@@ -144,6 +148,7 @@
 				if (listsRunOfThisTerm(report)) {
 					followed.worker().confirm();
 				}
+				this.learning.observe(report, nowNanos);
 				this.events.addAll(this.runMover.inspect(followed.worker(), nowNanos));
 				yield Optional.of(recordRunEnds(followed.worker(), report, nowNanos));
 			}
@@ -311,6 +316,15 @@
 		return this.retention.sweep(this.state, now.nanos());
 	}
 
+	/**
+	 * Decides what of the learned run times and worker speeds is recorded.
+	 * @param now the time
+	 * @return the command that records it, or empty if there is nothing to record now
+	 */
+	public Optional<FleetCommand> recordRunTimes(GrantedTime now) {
+		return this.learning.summary(now);
+	}
+
 	/**
 	 * Records that a job is refused, as the replicas lack the memory for it.
 	 * @param job the job
@@ -366,6 +380,7 @@
 	 * @return the events
 	 */
 	public List<FleetEvent> drainEvents() {
+		this.learning.drainEvents(this.events);
 		List<FleetEvent> drained = List.copyOf(this.events);
 		this.events.clear();
 		return drained;
@@ -412,6 +427,7 @@
 				if (budget.take(start)) {
 					starts.add(start);
 					this.unsentStarts.remove(task);
+					this.learning.recordStart(task, run, worker);
 				}
 			}
 		});
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetTimings.java
@@ -15,9 +15,11 @@
  * @param preemptionDelay how long a step waits before it may preempt others
  * @param endedJobRetention how long calls about a job are answered after it has ended, at
  * least
+ * @param learnedRunTimes whether forecasts use learned run times and worker speeds, and
+ * not only the estimates of the callers
  */
 public record FleetTimings(Duration lease, Duration leaseMargin, Duration silenceTimeout, Duration reportInterval,
-		Duration preemptionDelay, Duration endedJobRetention) {
+		Duration preemptionDelay, Duration endedJobRetention, boolean learnedRunTimes) {
 
 	/**
 	 * Maximum relative drift between the clocks of two machines: one runs 2% slow and the
@@ -56,6 +58,21 @@
 	/** Twice as long as callers ask for a job that has ended. */
 	private static final Duration ENDED_JOB_RETENTION = Duration.ofSeconds(240);
 
+	/**
+	 * Creates timings of a leader that learns run times.
+	 * @param lease how long the runs of a worker may continue after a heartbeat that was
+	 * answered
+	 * @param leaseMargin added to the lease before a run counts as lost
+	 * @param silenceTimeout the maximum silence of a worker that still gets new tasks
+	 * @param reportInterval the interval between two reports of a worker
+	 * @param preemptionDelay how long a step waits before it may preempt others
+	 * @param endedJobRetention how long calls about an ended job are answered
+	 */
+	public FleetTimings(Duration lease, Duration leaseMargin, Duration silenceTimeout, Duration reportInterval,
+			Duration preemptionDelay, Duration endedJobRetention) {
+		this(lease, leaseMargin, silenceTimeout, reportInterval, preemptionDelay, endedJobRetention, true);
+	}
+
 	/**
 	 * Creates the default timings for a lease.
 	 * @param lease how long the runs of a worker may continue after a heartbeat that was
@@ -75,7 +92,17 @@
 	 */
 	public FleetTimings withEndedJobRetention(Duration retention) {
 		return new FleetTimings(this.lease, this.leaseMargin, this.silenceTimeout, this.reportInterval,
-				this.preemptionDelay, retention);
+				this.preemptionDelay, retention, this.learnedRunTimes);
+	}
+
+	/**
+	 * Returns timings with or without learned run times.
+	 * @param learned whether forecasts use learned run times and worker speeds
+	 * @return the timings
+	 */
+	public FleetTimings withLearnedRunTimes(boolean learned) {
+		return new FleetTimings(this.lease, this.leaseMargin, this.silenceTimeout, this.reportInterval,
+				this.preemptionDelay, this.endedJobRetention, learned);
 	}
 
 	/**
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCommand.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCommand.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 
+import io.verbenatrack.fleet.model.ClassRunTimes;
 import io.verbenatrack.fleet.model.FleetConfiguration;
 import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.RunOutcome;
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
+import io.verbenatrack.fleet.model.WorkerSpeed;
 import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.JobId;
 
@@ -101,4 +103,20 @@
 
 	}
 
+	/**
+	 * Records learned run times and worker speeds, so that a later leader continues from
+	 * them. Values that the command does not name remain.
+	 *
+	 * @param classes the run times by class
+	 * @param speeds the speeds of workers
+	 */
+	record RecordRunTimes(List<ClassRunTimes> classes, List<WorkerSpeed> speeds) implements FleetCommand {
+
+		public RecordRunTimes {
+			classes = List.copyOf(classes);
+			speeds = List.copyOf(speeds);
+		}
+
+	}
+
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -31,6 +31,8 @@
 
 	private final Map<AccountId, Long> bytesByAccount = new HashMap<>();
 
+	private final RunTimes runTimes = new RunTimes();
+
 	private Optional<ConfigurationIndex> configuration = Optional.empty();
 
 	private byte[] document = new byte[0];
@@ -76,6 +78,7 @@
 			case FleetCommand.BeginJobs begin -> begin.jobs().forEach((id) -> job(id).ifPresent(JobState::markRunning));
 			case FleetCommand.EndRun end -> end(end);
 			case FleetCommand.ForgetJobs forget -> forget.jobs().forEach(this::forget);
+			case FleetCommand.RecordRunTimes record -> this.runTimes.record(record.classes(), record.speeds());
 		}
 	}
 
@@ -296,10 +299,18 @@
 		return this.runsByWorker.keySet();
 	}
 
+	/**
+	 * Returns the learned run times and worker speeds that are recorded.
+	 * @return a live view
+	 */
+	public RunTimes runTimes() {
+		return this.runTimes;
+	}
+
 	FleetSnapshot snapshot() {
 		return new FleetSnapshot(FleetSnapshot.FORMAT, this.term, this.sequence,
 				this.configuration.map(ConfigurationIndex::configuration), this.document,
-				this.jobs.values().stream().map(JobState::toRecord).toList());
+				this.jobs.values().stream().map(JobState::toRecord).toList(), this.runTimes.toRecord());
 	}
 
 	void restore(FleetSnapshot snapshot) {
@@ -312,6 +323,7 @@
 		this.runsByWorker.clear();
 		this.bytesByAccount.clear();
 		snapshot.jobs().forEach((record) -> restore(JobState.fromRecord(record)));
+		this.runTimes.restore(snapshot.runTimes());
 	}
 
 	private void restore(JobState job) {
@@ -334,15 +346,20 @@
 	 * @param configuration the configuration in force
 	 * @param document the configuration as its operator wrote it
 	 * @param jobs the jobs in the order of their acceptance
+	 * @param runTimes the learned run times and worker speeds; absent before format 3
 	 */
 	record FleetSnapshot(int format, long term, long sequence, Optional<FleetConfiguration> configuration,
-			byte[] document, List<JobState.JobRecord> jobs) {
+			byte[] document, List<JobState.JobRecord> jobs, RunTimes.RunTimesRecord runTimes) {
 
-		static final int FORMAT = 2;
+		static final int FORMAT = 3;
 
 		/** Snapshots of format 1 hold the state of every occurrence. */
 		static final int OLDEST_FORMAT = 1;
 
+		FleetSnapshot {
+			runTimes = (runTimes != null) ? runTimes : RunTimes.RunTimesRecord.NONE;
+		}
+
 	}
 
 }
--- a/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
@@ -38,15 +38,22 @@
 		sample.apply(new FleetBatch(1, 1,
 				List.of(SampleRecords.of(FleetCommand.AdoptConfiguration.class).getFirst(), accepted,
 						new FleetCommand.StartRun(new TaskId(accepted.job(), 0, 0, 0), 1, life),
-						new FleetCommand.BeginJobs(List.of(accepted.job())))));
+						new FleetCommand.BeginJobs(List.of(accepted.job())),
+						SampleRecords.of(FleetCommand.RecordRunTimes.class).getFirst())));
 		assertThat(sample.runsOn(life)).hasSize(1);
-		this.golden.assertCompatible("snapshot", List.of(sample), this::restored, this::snapshot);
+		this.golden.assertCompatible("snapshot-3", List.of(sample), this::restored, this::snapshot);
 	}
 
 	// Guards against replicas that cannot read the snapshots of an earlier release.
 	@Test
 	public void snapshotOfFormat1IsConverted() {
-		this.golden.assertConverted("snapshot-1", "snapshot", this::restored, this::snapshot);
+		this.golden.assertConverted("snapshot-1", "snapshot-3", this::restored, this::snapshot);
+	}
+
+	// The lines named "snapshot" are of format 2.
+	@Test
+	public void snapshotOfFormat2IsConverted() {
+		this.golden.assertConverted("snapshot", "snapshot-3", this::restored, this::snapshot);
 	}
 
 	private byte[] snapshot(FleetState state) {
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
@@ -1,7 +1,9 @@
 package io.verbenatrack.fleetd;
 
+import java.util.Locale;
 import java.util.stream.Collectors;
 
+import io.verbenatrack.fleet.forecast.ForecastEvent;
 import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
@@ -42,6 +44,9 @@
 			case FleetCommand.ForgetJobs forget -> events.write(LogEvent.FLEET_JOBS_FORGOTTEN,
 					new Field("jobs", forget.jobs().size()), new Field("first", forget.jobs().getFirst()),
 					new Field("last", forget.jobs().getLast()), termField);
+			case FleetCommand.RecordRunTimes record -> {
+				// Every few seconds; the changes that matter are logged as events.
+			}
 		}
 	}
 
@@ -86,6 +91,7 @@
 					new Field("job", moved.task().job()), new Field("task", taskNumber(moved.task())),
 					new Field("run", moved.run()), new Field("worker", moved.incarnation().worker()),
 					new Field("percent", moved.percent()), termField);
+			case FleetEvent.ForecastChanged changed -> write(events, termField, changed.change());
 			case FleetEvent.JobWaits waits -> events.write(LogEvent.FLEET_JOB_WAITS, new Field("job", waits.job()),
 					new Field("step", waits.step()), new Field("tasks", waits.tasks()),
 					new Field("accelerators", waits.accelerators()), new Field("outlook", waits.outlook()),
@@ -94,6 +100,29 @@
 		}
 	}
 
+	private static void write(EventLog events, Field termField, ForecastEvent event) {
+		switch (event) {
+			case ForecastEvent.RunTimesSwitched switched ->
+				events.write(switched.learned() ? LogEvent.FLEET_RUN_TIMES_LEARNED : LogEvent.FLEET_RUN_TIMES_DECLARED,
+						new Field("queue", switched.runClass().queue()),
+						new Field("account", switched.runClass().account()),
+						new Field("samples", Math.round(switched.samples())),
+						new Field("learnedError", factor(switched.learnedError())),
+						new Field("callerError", factor(switched.callerError())), termField);
+			case ForecastEvent.SpeedChanged changed -> events.write(LogEvent.FLEET_WORKER_SPEED_CHANGED,
+					new Field("worker", changed.worker()), new Field("before", changed.before()),
+					new Field("now", changed.now()), new Field("percent", changed.percent()), termField);
+			case ForecastEvent.ValuesIgnored ignored ->
+				events.write(LogEvent.FLEET_RUN_TIMES_IGNORED, new Field("values", ignored.values()),
+						new Field("worker", ignored.worker()), new Field("example", ignored.example()), termField);
+		}
+	}
+
+	// Errors are logged as factors, as 1.50 for one half too much or a third too little.
+	private static String factor(double logError) {
+		return String.format(Locale.ROOT, "%.2f", Math.exp(logError));
+	}
+
 	// Late and repeated reports arrive all the time and change nothing.
 	private static void writeIgnoredReport(EventLog events, Field termField, FleetEvent.ReportIgnored ignored) {
 		if (ignored.reason() == IgnoreReason.OUTDATED) {
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -289,7 +289,27 @@
 			"Nothing to do."),
 
 	/** A worker runs the first task of a job. */
-	FLEET_JOB_BEGAN(6033, System.Logger.Level.INFO, "A worker has begun the first task of a job.", "Nothing to do.");
+	FLEET_JOB_BEGAN(6033, System.Logger.Level.INFO, "A worker has begun the first task of a job.", "Nothing to do."),
+
+	/** Learned run times of a class come into use. */
+	FLEET_RUN_TIMES_LEARNED(6037, System.Logger.Level.INFO,
+			"The run times of a queue and a client account are forecast from earlier runs, which is more exact.",
+			"Nothing to do; the error fields show by which factor each source is off."),
+
+	/** The callers' estimates of a class come into use again. */
+	FLEET_RUN_TIMES_DECLARED(6038, System.Logger.Level.INFO,
+			"The run times of a queue and a client account are taken from the callers' estimates again.",
+			"Nothing to do; the error fields show by which factor each source is off."),
+
+	/** The speed of a worker has changed. */
+	FLEET_WORKER_SPEED_CHANGED(6039, System.Logger.Level.INFO,
+			"The speed of a worker, relative to the median of the fleet, has changed its class.",
+			"If a worker remains SLOW or VERY_SLOW, check it for other load, heat or a faulty device."),
+
+	/** Implausible progress or run times were ignored. */
+	FLEET_RUN_TIMES_IGNORED(6040, System.Logger.Level.WARNING,
+			"Implausible progress or run times in reports were not used to forecast run times.",
+			"Check the worker in the worker field, and its clock.");
 
 	private final int number;
 
