--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 
 import io.verbenatrack.fleet.forecast.Quantile;
-import io.verbenatrack.fleet.forecast.RunForecast;
 import io.verbenatrack.fleet.model.HeartbeatResponse;
 import io.verbenatrack.fleet.model.JobPhase;
 import io.verbenatrack.fleet.model.ReportedEnd;
@@ -71,7 +70,7 @@
 
 	private final JobRetention retention;
 
-	private final RunForecast forecast;
+	private final RunLearning learning;
 
 	/**
 	 * Starts that no response has carried yet, so that their workers do not know of them.
@@ -99,25 +98,17 @@
 	 * @param now the start of the term
 	 */
 	public FleetScheduler(FleetState state, FleetTimings timings, long term, GrantedTime now) {
-		this(state, timings, RunForecast.DECLARED, term, now);
+		this(state, timings, new RunLearning(state, timings, now), term, now);
 	}
 
-	/**
-	 * Creates the scheduler for a term, with a forecast of run times.
-	 * @param state the replicated state, which must not change during a decision
-	 * @param timings the timing parameters
-	 * @param forecast forecasts the run times of tasks and the speeds of workers
-	 * @param term the term, which is the fencing token of all responses
-	 * @param now the start of the term
-	 */
-	public FleetScheduler(FleetState state, FleetTimings timings, RunForecast forecast, long term, GrantedTime now) {
+	FleetScheduler(FleetState state, FleetTimings timings, RunLearning learning, long term, GrantedTime now) {
 		this.state = state;
-		this.forecast = forecast;
 		this.timings = timings;
 		this.term = term;
 		this.startNanos = now.nanos();
 		this.registry = new WorkerRegistry(now.nanos(), timings);
-		this.runMover = new StalledRunMover(state, this.registry, this.forecast);
+		this.learning = learning;
+		this.runMover = new StalledRunMover(state, this.registry, this.learning.forecast());
 		this.placementHistory = new PlacementHistory(this.runMover);
 		this.retention = new JobRetention(timings.endedJobRetention(), now.nanos());
 		this.earlierReportsEndNanos = now.nanos() + timings.maxLeaseNanos();
@@ -156,6 +147,7 @@
 				if (listsRunOfThisTerm(report)) {
 					followed.worker().confirm();
 				}
+				this.learning.observe(report, nowNanos);
 				this.events.addAll(this.runMover.inspect(followed.worker(), nowNanos));
 				yield Optional.of(recordRunEnds(followed.worker(), report, nowNanos));
 			}
@@ -323,6 +315,15 @@
 		return this.retention.sweep(this.state, now.nanos());
 	}
 
+	/**
+	 * Decides what of the learned run times and worker speeds is recorded.
+	 * @param now the time
+	 * @return the command that records it, or empty if there is nothing to record now
+	 */
+	public Optional<FleetCommand> recordRunTimes(GrantedTime now) {
+		return this.learning.summary(now);
+	}
+
 	/**
 	 * Records that a job is refused, as the replicas lack the memory for it.
 	 * @param job the job
@@ -352,7 +353,7 @@
 		this.runMover.removeStale(nowNanos);
 		this.unsentStarts.entrySet().removeIf((start) -> !this.state.isRunning(start.getKey(), start.getValue()));
 		this.beginning.removeIf((job) -> !isPending(job));
-		PlacementPass pass = new PlacementPass(this.state, this.registry, this.timings, this.forecast,
+		PlacementPass pass = new PlacementPass(this.state, this.registry, this.timings, this.learning.forecast(),
 				this.placementHistory, this.preempted, this.waitingJobs, nowNanos, nowMillis);
 		pass.run();
 		pass.starts().forEach((start) -> this.unsentStarts.put(start.task(), start.run()));
@@ -378,6 +379,7 @@
 	 * @return the events
 	 */
 	public List<FleetEvent> drainEvents() {
+		this.learning.drainEvents(this.events);
 		List<FleetEvent> drained = List.copyOf(this.events);
 		this.events.clear();
 		return drained;
@@ -424,6 +426,7 @@
 				if (budget.take(start)) {
 					starts.add(start);
 					this.unsentStarts.remove(task);
+					this.learning.recordStart(task, run, worker);
 				}
 			}
 		});
@@ -479,7 +482,7 @@
 
 	private long remainingMillis(TrackedWorker worker, TaskId task, StepState step) {
 		JobState job = this.state.job(task.job()).orElseThrow();
-		return RunProgress.of(this.forecast, job, step, task, worker).remainingMillis(Quantile.CAUTIOUS);
+		return RunProgress.of(this.learning.forecast(), job, step, task, worker).remainingMillis(Quantile.CAUTIOUS);
 	}
 
 	private HeartbeatResponse.Start start(TaskId task, int run) {
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/LearnedRunTimesTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/LearnedRunTimesTests.java
@@ -31,7 +31,7 @@
 	@BeforeMethod
 	void startTermWithForecast() {
 		this.fixed.factors.clear();
-		this.forecast = this.fixed;
+		this.forecast = Optional.of(this.fixed);
 		startNextTerm();
 	}
 
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/SchedulerFixture.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/SchedulerFixture.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import org.testng.annotations.BeforeMethod;
 
@@ -37,7 +38,8 @@
 
 	FleetScheduler scheduler;
 
-	RunForecast forecast = RunForecast.DECLARED;
+	/** The forecast of the scheduler. If empty, it learns. */
+	Optional<RunForecast> forecast = Optional.empty();
 
 	long term;
 
@@ -60,7 +62,9 @@
 	void startNextTerm() {
 		this.term++;
 		this.sequence = 0;
-		this.scheduler = new FleetScheduler(this.state, TIMINGS, this.forecast, this.term, time());
+		RunLearning learning = this.forecast.map(RunLearning::new)
+			.orElseGet(() -> new RunLearning(this.state, TIMINGS, time()));
+		this.scheduler = new FleetScheduler(this.state, TIMINGS, learning, this.term, time());
 	}
 
 	GrantedTime time() {
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/SpeedPlacementTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/SpeedPlacementTests.java
@@ -41,7 +41,7 @@
 		for (int worker = 0; worker < 2 * RACK; worker++) {
 			this.fixed.speeds.put(Fixtures.incarnation(worker), slow(worker) ? SLOW : FAST);
 		}
-		this.forecast = this.fixed;
+		this.forecast = Optional.of(this.fixed);
 		startNextTerm();
 	}
 
