--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/CompletionOutlook.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/CompletionOutlook.java
@@ -21,13 +21,26 @@
 	private static final int LATE_FACTOR = 3;
 
 	/**
-	 * Share of the estimated run time to assume; estimates are sometimes off by this
-	 * much.
+	 * Share of the callers' estimates to assume, as they are sometimes off by this much.
+	 * The median of observed runs needs no such correction.
 	 */
 	private static final double ESTIMATE_FACTOR = 0.8;
 
 	static CompletionOutlook of(PendingStep step, long nowMillis) {
-		long end = nowMillis - step.readyMillis() + (long) (ESTIMATE_FACTOR * step.criticalPathMillis());
+		return of(step, nowMillis, 1);
+	}
+
+	/**
+	 * Returns the outlook of a step that starts on workers of a given speed.
+	 * @param step the step
+	 * @param startMillis when it starts, in milliseconds since the epoch
+	 * @param speed the speed of the workers relative to the nominal speed
+	 * @return the outlook if the later steps of its job run at nominal speed
+	 */
+	static CompletionOutlook of(PendingStep step, long startMillis, double speed) {
+		double factor = step.forecast().learned() ? 1 : ESTIMATE_FACTOR;
+		double pathMillis = step.criticalPathMillis() + step.medianMillis() * (1 / speed - 1);
+		long end = startMillis - step.readyMillis() + (long) (factor * pathMillis);
 		long objective = step.objectiveMillis();
 		if (end <= objective) {
 			return IN_TIME;
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import io.verbenatrack.fleet.forecast.RunForecast;
+import io.verbenatrack.fleet.forecast.Quantile;
 import io.verbenatrack.fleet.model.HeartbeatResponse;
 import io.verbenatrack.fleet.model.JobPhase;
 import io.verbenatrack.fleet.model.ReportedEnd;
@@ -46,8 +46,6 @@
 	 */
 	private static final int MAX_LISTED_ENDS = 500;
 
-	private static final int WHOLE_PERCENT = 100;
-
 	/** Time for a command that removes ended jobs. */
 	private static final Duration MIN_ROOM_RETRY = Duration.ofSeconds(1);
 
@@ -74,7 +72,7 @@
 
 	private final JobRetention retention;
 
-	private final RunForecast forecast = RunForecast.DECLARED;
+	private final RunLearning learning;
 
 	/**
 	 * Starts that no response has carried yet, so that their workers do not know of them.
@@ -102,13 +100,18 @@
 	 * @param now the start of the term
 	 */
 	public FleetScheduler(FleetState state, FleetTimings timings, long term, GrantedTime now) {
+		this(state, timings, new RunLearning(state, timings, now), term, now);
+	}
+
+	FleetScheduler(FleetState state, FleetTimings timings, RunLearning learning, long term, GrantedTime now) {
 		this.state = state;
 		this.timings = timings;
 		this.term = term;
 		this.startNanos = now.nanos();
 		this.registry = new WorkerRegistry(now.nanos(), timings);
 		this.zones = new ZoneAvailability(state, this.registry);
-		this.runMover = new StalledRunMover(state, this.registry, this.forecast);
+		this.learning = learning;
+		this.runMover = new StalledRunMover(state, this.registry, this.learning.forecast());
 		this.placementHistory = new PlacementHistory(this.runMover);
 		this.retention = new JobRetention(timings.endedJobRetention(), now.nanos());
 		this.earlierReportsEndNanos = now.nanos() + timings.maxLeaseNanos();
@@ -147,6 +150,7 @@
 				if (listsRunOfThisTerm(report)) {
 					followed.worker().confirm();
 				}
+				this.learning.observe(report, nowNanos);
 				this.events.addAll(this.runMover.inspect(followed.worker(), nowNanos));
 				yield Optional.of(recordRunEnds(followed.worker(), report, nowNanos));
 			}
@@ -317,6 +321,15 @@
 		return this.retention.sweep(this.state, now.nanos());
 	}
 
+	/**
+	 * Decides what of the learned run times and worker speeds is recorded.
+	 * @param now the time
+	 * @return the command that records it, or empty if there is nothing to record now
+	 */
+	public Optional<FleetCommand> recordRunTimes(GrantedTime now) {
+		return this.learning.summary(now);
+	}
+
 	/**
 	 * Records that a job is refused, as the replicas lack the memory for it.
 	 * @param job the job
@@ -354,8 +367,8 @@
 		this.runMover.removeStale(nowNanos);
 		this.unsentStarts.entrySet().removeIf((start) -> !this.state.isRunning(start.getKey(), start.getValue()));
 		this.beginning.removeIf((job) -> !isPending(job));
-		PlacementPass pass = new PlacementPass(this.state, this.registry, this.zones, this.timings, this.forecast,
-				this.placementHistory, this.preempted, this.waitingJobs, nowNanos, nowMillis);
+		PlacementPass pass = new PlacementPass(this.state, this.registry, this.zones, this.timings,
+				this.learning.forecast(), this.placementHistory, this.preempted, this.waitingJobs, nowNanos, nowMillis);
 		pass.run();
 		pass.starts().forEach((start) -> this.unsentStarts.put(start.task(), start.run()));
 		recordPreemptions(withWholeGangs(pass.preempted()));
@@ -380,6 +393,7 @@
 	 * @return the events
 	 */
 	public List<FleetEvent> drainEvents() {
+		this.learning.drainEvents(this.events);
 		List<FleetEvent> drained = List.copyOf(this.events);
 		this.events.clear();
 		return drained;
@@ -426,6 +440,7 @@
 				if (budget.take(start)) {
 					starts.add(start);
 					this.unsentStarts.remove(task);
+					this.learning.recordStart(task, run, worker);
 				}
 			}
 		});
@@ -480,8 +495,9 @@
 			.isPresent();
 	}
 
-	private static long remainingMillis(TrackedWorker worker, TaskId task, StepState step) {
-		return step.spec().estimatedMillis() * (WHOLE_PERCENT - worker.percent(task)) / WHOLE_PERCENT;
+	private long remainingMillis(TrackedWorker worker, TaskId task, StepState step) {
+		JobState job = this.state.job(task.job()).orElseThrow();
+		return RunProgress.of(this.learning.forecast(), job, step, task, worker).remainingMillis(Quantile.CAUTIOUS);
 	}
 
 	private HeartbeatResponse.Start start(TaskId task, int run) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -34,6 +34,8 @@
 
 	private final EvacuationState evacuations = new EvacuationState();
 
+	private final RunTimes runTimes = new RunTimes();
+
 	private Optional<ConfigurationIndex> configuration = Optional.empty();
 
 	private byte[] document = new byte[0];
@@ -81,6 +83,7 @@
 			case FleetCommand.ForgetJobs forget -> forget.jobs().forEach(this::forget);
 			case FleetCommand.EvacuateZone evacuate -> this.evacuations.evacuate(evacuate.zone());
 			case FleetCommand.WithdrawEvacuation withdraw -> this.evacuations.withdraw(withdraw.zone());
+			case FleetCommand.RecordRunTimes record -> this.runTimes.record(record.classes(), record.speeds());
 		}
 	}
 
@@ -309,11 +312,19 @@
 		return this.runsByWorker.keySet();
 	}
 
+	/**
+	 * Returns the learned run times and worker speeds that are recorded.
+	 * @return a live view
+	 */
+	public RunTimes runTimes() {
+		return this.runTimes;
+	}
+
 	FleetSnapshot snapshot() {
 		return new FleetSnapshot(FleetSnapshot.FORMAT, this.term, this.sequence,
 				this.configuration.map(ConfigurationIndex::configuration), this.document,
 				this.jobs.values().stream().map(JobState::toRecord).toList(), List.copyOf(this.evacuations.evacuated()),
-				List.copyOf(this.evacuations.withdrawn()));
+				List.copyOf(this.evacuations.withdrawn()), this.runTimes.toRecord());
 	}
 
 	void restore(FleetSnapshot snapshot) {
@@ -327,6 +338,7 @@
 		this.bytesByAccount.clear();
 		this.evacuations.restore(snapshot.evacuatedZones(), snapshot.withdrawnZones());
 		snapshot.jobs().forEach((record) -> restore(JobState.fromRecord(record)));
+		this.runTimes.restore(snapshot.runTimes());
 	}
 
 	private void restore(JobState job) {
@@ -352,9 +364,11 @@
 	 * @param evacuatedZones the evacuated availability zones, none before format 3
 	 * @param withdrawnZones the availability zones whose evacuation was withdrawn last,
 	 * none before format 3
+	 * @param runTimes the learned run times and worker speeds; absent before format 3
 	 */
 	record FleetSnapshot(int format, long term, long sequence, Optional<FleetConfiguration> configuration,
-			byte[] document, List<JobState.JobRecord> jobs, List<ZoneId> evacuatedZones, List<ZoneId> withdrawnZones) {
+			byte[] document, List<JobState.JobRecord> jobs, List<ZoneId> evacuatedZones, List<ZoneId> withdrawnZones,
+			RunTimes.RunTimesRecord runTimes) {
 
 		static final int FORMAT = 3;
 
@@ -364,6 +378,7 @@
 		FleetSnapshot {
 			evacuatedZones = (evacuatedZones != null) ? List.copyOf(evacuatedZones) : List.of();
 			withdrawnZones = (withdrawnZones != null) ? List.copyOf(withdrawnZones) : List.of();
+			runTimes = (runTimes != null) ? runTimes : RunTimes.RunTimesRecord.NONE;
 		}
 
 	}
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/SchedulerFixture.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/SchedulerFixture.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import org.testng.annotations.BeforeMethod;
 
 import io.verbenatrack.fleet.Fixtures;
+import io.verbenatrack.fleet.forecast.RunForecast;
 import io.verbenatrack.fleet.model.HeartbeatResponse;
 import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.ReportedEnd;
@@ -36,6 +38,9 @@
 
 	FleetScheduler scheduler;
 
+	/** The forecast of the scheduler. If empty, it learns. */
+	Optional<RunForecast> forecast = Optional.empty();
+
 	long term;
 
 	long sequence;
@@ -57,7 +62,9 @@
 	void startNextTerm() {
 		this.term++;
 		this.sequence = 0;
-		this.scheduler = new FleetScheduler(this.state, TIMINGS, this.term, time());
+		RunLearning learning = this.forecast.map(RunLearning::new)
+			.orElseGet(() -> new RunLearning(this.state, TIMINGS, time()));
+		this.scheduler = new FleetScheduler(this.state, TIMINGS, learning, this.term, time());
 	}
 
 	GrantedTime time() {
--- a/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
@@ -41,7 +41,8 @@
 						new FleetCommand.StartRun(new TaskId(accepted.job(), 0, 0, 0), 1, life),
 						new FleetCommand.BeginJobs(List.of(accepted.job())),
 						new FleetCommand.EvacuateZone(new ZoneId("zone-1")),
-						new FleetCommand.WithdrawEvacuation(new ZoneId("zone-2")))));
+						new FleetCommand.WithdrawEvacuation(new ZoneId("zone-2")),
+						SampleRecords.of(FleetCommand.RecordRunTimes.class).getFirst())));
 		assertThat(sample.runsOn(life)).hasSize(1);
 		this.golden.assertCompatible("snapshot-3", List.of(sample), this::restored, this::snapshot);
 	}
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -303,7 +303,27 @@
 	/** An order about an evacuation was refused. */
 	FLEET_EVACUATION_REFUSED(6036, System.Logger.Level.WARNING,
 			"An order about the evacuation of an availability zone was refused and changed nothing.",
-			"See the reason field: correct the name of the zone, withdraw other evacuations or send the order again.");
+			"See the reason field: correct the name of the zone, withdraw other evacuations or send the order again."),
+
+	/** Learned run times of a class come into use. */
+	FLEET_RUN_TIMES_LEARNED(6037, System.Logger.Level.INFO,
+			"The run times of a queue and a client account are forecast from earlier runs, which is more exact.",
+			"Nothing to do; the error fields show by which factor each source is off."),
+
+	/** The callers' estimates of a class come into use again. */
+	FLEET_RUN_TIMES_DECLARED(6038, System.Logger.Level.INFO,
+			"The run times of a queue and a client account are taken from the callers' estimates again.",
+			"Nothing to do; the error fields show by which factor each source is off."),
+
+	/** The speed of a worker has changed. */
+	FLEET_WORKER_SPEED_CHANGED(6039, System.Logger.Level.INFO,
+			"The speed of a worker, relative to the median of the fleet, has changed its class.",
+			"If a worker remains SLOW or VERY_SLOW, check it for other load, heat or a faulty device."),
+
+	/** Implausible progress or run times were ignored. */
+	FLEET_RUN_TIMES_IGNORED(6040, System.Logger.Level.WARNING,
+			"Implausible progress or run times in reports were not used to forecast run times.",
+			"Check the worker in the worker field, and its clock.");
 
 	private final int number;
 
