Compare the runs of a step with those of its tasks that are done

The slow runs of a step looked normal once only they were left, so slow workers were not recognized; the median of the speeds shifted the run times of all classes; and the runs in progress, which are longer than others, outweighed those that had ended.

--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/ClassModel.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/ClassModel.java
@@ -41,6 +41,9 @@
 
 	private static final double MIN_SPREAD = 0.1;
 
+	/** Weight up to which runs in progress complement those that have ended. */
+	private static final double MAX_OPEN_WEIGHT = 10;
+
 	/** Weight of the samples from which on learned values may be used. */
 	private static final double MIN_USED_WEIGHT = 4;
 
@@ -160,14 +163,15 @@
 	 * @return the logarithm of the run time at speed 1
 	 */
 	double predict(double x, ClassModel prior) {
-		double total = this.weight + this.openWeight;
+		double share = openShare();
+		double total = this.weight + share * this.openWeight;
 		if (total == 0) {
 			return (prior != null) ? prior.predict(x, null) : x;
 		}
-		double meanX = (this.sumX + this.openX) / total;
-		double meanY = (this.sumY + this.openY) / total;
-		double varianceSum = Math.max(0, this.sumXx + this.openXx - total * meanX * meanX);
-		double covarianceSum = this.sumXy + this.openXy - total * meanX * meanY;
+		double meanX = (this.sumX + share * this.openX) / total;
+		double meanY = (this.sumY + share * this.openY) / total;
+		double varianceSum = Math.max(0, this.sumXx + share * this.openXx - total * meanX * meanX);
+		double covarianceSum = this.sumXy + share * this.openXy - total * meanX * meanY;
 		double center = (prior != null) ? prior.predict(meanX, null) : meanX;
 		double priorSlope = (prior != null) ? prior.slope() : 1;
 		double slope = (covarianceSum + SLOPE_PRIOR * priorSlope) / (varianceSum + SLOPE_PRIOR);
@@ -178,14 +182,18 @@
 	}
 
 	private double slope() {
-		double total = this.weight + this.openWeight;
-		if (total == 0) {
+		if (this.weight == 0) {
 			return 1;
 		}
-		double meanX = (this.sumX + this.openX) / total;
-		double meanY = (this.sumY + this.openY) / total;
-		double varianceSum = Math.max(0, this.sumXx + this.openXx - total * meanX * meanX);
-		return (this.sumXy + this.openXy - total * meanX * meanY + SLOPE_PRIOR) / (varianceSum + SLOPE_PRIOR);
+		double varianceSum = Math.max(0, this.sumXx - this.sumX * this.sumX / this.weight);
+		return (this.sumXy - this.sumX * this.sumY / this.weight + SLOPE_PRIOR) / (varianceSum + SLOPE_PRIOR);
+	}
+
+	// Long runs are in progress for longer, so those in progress are not typical. They
+	// count only while few runs have ended.
+	private double openShare() {
+		double room = Math.max(0, MAX_OPEN_WEIGHT - this.weight);
+		return (this.openWeight > room) ? room / this.openWeight : 1;
 	}
 
 	/**
@@ -258,15 +266,6 @@
 		this.openXy += sampleWeight * x * y;
 	}
 
-	/**
-	 * Moves all run times when the speed 1 becomes that of other workers.
-	 * @param offset the difference of the logarithms
-	 */
-	void shift(double offset) {
-		this.sumY += offset * this.weight;
-		this.sumXy += offset * this.sumX;
-	}
-
 	/**
 	 * Decides whether the learned values are used from now on.
 	 * @return whether this changes
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/LearnedRunTimes.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/LearnedRunTimes.java
@@ -164,10 +164,6 @@
 		model(new Key(runClass.queue(), Optional.of(runClass.account()))).addOpen(x, y, weight);
 	}
 
-	void shift(double offset) {
-		this.models.values().forEach((model) -> model.shift(offset));
-	}
-
 	/**
 	 * Decides which classes use learned values from now on.
 	 * @param nowNanos the time in nanoseconds of the monotonic clock
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunObserver.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunObserver.java
@@ -35,8 +35,16 @@
 	/** A ratio with this variance counts half. */
 	private static final double HALF_WEIGHT_VARIANCE = 0.04;
 
-	/** Workers of a gang whose speeds differ less may each be the slowest one. */
-	private static final double ALIKE = 0.2;
+	/**
+	 * Workers whose logarithms of the speed differ by less may each be the slower one.
+	 */
+	private static final double ALIKE = 0.15;
+
+	/** The run time of a gang is known from other gangs only, with their own speeds. */
+	private static final double GANG_WEIGHT = 0.3;
+
+	/** A member of a gang with a smaller share in its pace does not count. */
+	private static final double MIN_SHARE = 0.05;
 
 	private final FleetState state;
 
@@ -166,6 +174,9 @@
 			ignore(track.worker(), "run time " + observed + " ms");
 			return;
 		}
+		if (!step.gang()) {
+			step.addDone(track.worker(), Math.log(observed));
+		}
 		if (track.anchored()) {
 			compare(track, Math.log(observed), 0, nowNanos, true);
 		}
@@ -185,8 +196,8 @@
 		this.sweptNanos = nowNanos;
 		this.tracks.removeStale();
 		this.runTimes.clearOpen();
-		if (this.scratch.length < this.tracks.size()) {
-			this.scratch = new double[2 * this.tracks.size()];
+		if (this.scratch.length < this.tracks.size() + StepTrack.MAX_DONE) {
+			this.scratch = new double[2 * this.tracks.size() + StepTrack.MAX_DONE];
 		}
 		this.tracks.steps().forEach((step) -> {
 			step.updateGang();
@@ -195,11 +206,7 @@
 			compareRuns(step, nowNanos);
 		});
 		this.speeds.update(nowNanos);
-		double offset = this.speeds.anchor();
-		if (offset != 0) {
-			this.runTimes.shift(offset);
-			this.tracks.steps().forEach((step) -> step.shift(offset));
-		}
+		this.speeds.anchor();
 		this.runTimes.decideUse(nowNanos, this.events);
 		this.speeds.report(this.events);
 		if (this.ignoredValues > 0 && nowNanos - this.ignoredEventNanos >= IGNORED_EVENT_INTERVAL_NANOS) {
@@ -245,16 +252,24 @@
 		if (!step.gang()) {
 			add(run.worker(), ratio, weight, nowNanos, over);
 		}
-		else if (ratio >= step.slowest().logSpeed()) {
-			step.gangWorkers()
-				.stream()
-				.filter((worker) -> worker.logSpeed() < ratio)
-				.forEach((worker) -> add(worker, ratio, weight, nowNanos, over));
-		}
 		else {
-			double limit = step.slowest().logSpeed() + ALIKE;
-			List<WorkerModel> slow = step.gangWorkers().stream().filter((worker) -> worker.logSpeed() < limit).toList();
-			slow.forEach((worker) -> add(worker, ratio, weight / slow.size(), nowNanos, over));
+			compareGang(step, ratio, GANG_WEIGHT * weight, nowNanos, over);
+		}
+	}
+
+	// The slowest member determines the pace of a gang, so the others count less the
+	// faster they are.
+	private static void compareGang(StepTrack step, double ratio, double weight, long nowNanos, boolean over) {
+		double slowest = step.slowest().logSpeed();
+		double total = 0;
+		for (WorkerModel worker : step.gangWorkers()) {
+			total += Math.exp((slowest - worker.logSpeed()) / ALIKE);
+		}
+		for (WorkerModel worker : step.gangWorkers()) {
+			double share = Math.exp((slowest - worker.logSpeed()) / ALIKE) / total;
+			if (share > MIN_SHARE) {
+				add(worker, ratio, weight * share, nowNanos, over);
+			}
 		}
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/StepTrack.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/StepTrack.java
@@ -15,6 +15,9 @@
 	/** Runs of a step from whose paces the run time of its tasks is known. */
 	private static final int MIN_PACED = 4;
 
+	/** More would hardly change the median of the step. */
+	static final int MAX_DONE = 64;
+
 	private static final double MIN_SPREAD = 0.1;
 
 	/** Standard deviation of a normal distribution over its mean absolute deviation. */
@@ -32,6 +35,11 @@
 
 	private final List<RunTrack> runs = new ArrayList<>();
 
+	/** Run times of tasks that are done, with the workers that ran them. */
+	private final List<DoneRun> done = new ArrayList<>();
+
+	private int doneCount;
+
 	private double expected;
 
 	private double expectedSpread;
@@ -108,16 +116,6 @@
 		return this.prediction;
 	}
 
-	/**
-	 * Moves all run times when the speed 1 becomes that of other workers.
-	 * @param offset the difference of the logarithms
-	 */
-	void shift(double offset) {
-		this.expected += offset;
-		this.prediction += offset;
-		this.total += offset;
-	}
-
 	/**
 	 * Returns whether the runs of the step tell how long its tasks take.
 	 * @return whether enough of them have made progress
@@ -143,11 +141,32 @@
 	}
 
 	/**
-	 * Derives the run time of the tasks from the paces of the runs in progress.
-	 * @param scratch room for as many numbers as there are runs
+	 * Keeps the run time of a task that is done. Without these, the step's slow runs
+	 * would look normal as soon as only they are left.
+	 * @param worker the worker that ran it
+	 * @param logMillis the logarithm of the run time
+	 */
+	void addDone(WorkerModel worker, double logMillis) {
+		DoneRun run = new DoneRun(worker, logMillis);
+		if (this.done.size() < MAX_DONE) {
+			this.done.add(run);
+		}
+		else {
+			this.done.set(this.doneCount % MAX_DONE, run);
+		}
+		this.doneCount++;
+	}
+
+	/**
+	 * Derives the run time of the tasks from the runs that are done and the paces of
+	 * those in progress.
+	 * @param scratch room for as many numbers as there are runs, and {@link #MAX_DONE}
 	 */
 	void updateTotal(double[] scratch) {
 		this.paced = 0;
+		for (DoneRun run : this.done) {
+			scratch[this.paced++] = run.logMillis() + run.worker().logSpeed();
+		}
 		for (RunTrack run : this.runs) {
 			if (run.paced() && !run.remote()) {
 				scratch[this.paced++] = run.logPace() + run.logSpeed();
@@ -214,8 +233,8 @@
 		return first;
 	}
 
-	boolean sampled() {
-		return this.sampled;
+	private record DoneRun(WorkerModel worker, double logMillis) {
+
 	}
 
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/WorkerModel.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/WorkerModel.java
@@ -17,11 +17,14 @@
 	/** Runs in progress that count at a time. */
 	private static final int MAX_OPEN = 32;
 
-	/** Weight of the prior in the choice of the centre: more than a single run. */
-	private static final double PRIOR_WEIGHT = 1;
+	/**
+	 * Weight of the prior in the choice of the centre, relative to the run that counts
+	 * most: a single run decides nothing, two that agree do.
+	 */
+	private static final double PRIOR_SHARE = 1.3;
 
 	/** Weight of the prior in the mean around the centre. */
-	private static final double PRIOR_MEAN_WEIGHT = 0.3;
+	private static final double PRIOR_MEAN_WEIGHT = 0.1;
 
 	/** Ratios further from the centre than this are those of stragglers. */
 	private static final double MAX_DISTANCE = 0.45;
@@ -185,12 +188,16 @@
 				this.weights[count++] = this.pastWeights[index] * Math.max(MIN_FADED_SHARE, faded);
 			}
 		}
+		double heaviest = 0;
+		for (int index = 0; index < count; index++) {
+			heaviest = Math.max(heaviest, this.weights[index]);
+		}
 		if (count == 0) {
 			return;
 		}
 		this.measured = true;
 		this.ratios[count] = 0;
-		this.weights[count] = PRIOR_WEIGHT;
+		this.weights[count] = PRIOR_SHARE * heaviest;
 		double center = weightedMedian(count + 1);
 		double sum = 0;
 		double weight = PRIOR_MEAN_WEIGHT;
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/WorkerSpeeds.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/WorkerSpeeds.java
@@ -19,9 +19,6 @@
 	/** More than the workers of a fleet; names come from workers. */
 	private static final int MAX_WORKERS = RunTimes.MAX_WORKERS;
 
-	/** A smaller offset of the median from 1 is left. */
-	private static final double MIN_OFFSET = 0.005;
-
 	/** The median of fewer workers may be any of them. */
 	private static final int MIN_ANCHORS = 3;
 
@@ -74,26 +71,21 @@
 	}
 
 	/**
-	 * Makes the median speed 1.
-	 * @return what was added to the logarithms of the speeds
+	 * Makes the median speed 1. Run times at speed 1 are derived with speeds of this
+	 * scale, so they need no change.
 	 */
-	double anchor() {
+	void anchor() {
 		int count = 0;
 		for (WorkerModel model : this.models.values()) {
 			if (model.measured()) {
 				this.medians[count++] = model.logSpeed();
 			}
 		}
-		if (count < MIN_ANCHORS) {
-			return 0;
-		}
-		Arrays.sort(this.medians, 0, count);
-		double offset = -(this.medians[(count - 1) / 2] + this.medians[count / 2]) / 2;
-		if (Math.abs(offset) < MIN_OFFSET) {
-			return 0;
+		if (count >= MIN_ANCHORS) {
+			Arrays.sort(this.medians, 0, count);
+			double offset = -(this.medians[(count - 1) / 2] + this.medians[count / 2]) / 2;
+			this.models.values().stream().filter(WorkerModel::measured).forEach((model) -> model.shift(offset));
 		}
-		this.models.values().stream().filter(WorkerModel::measured).forEach((model) -> model.shift(offset));
-		return offset;
 	}
 
 	/**
