Begin a new window after a worker has changed its speed

The runs of the worker have no reference for their pace then, so a change that was noticed in part was never noticed in whole. A gang that slows down is attributed to the worker that is in all slow gangs.

--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunObserver.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunObserver.java
@@ -189,6 +189,7 @@
 			RunTracks.together(run).forEach((member) -> member.restartPace(before));
 		}
 		worker.change(change, nowNanos);
+		worker.window().clear();
 		this.reported.forEach((run) -> run.step().updateGang());
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunTrack.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunTrack.java
@@ -27,8 +27,8 @@
 
 	private static final double REMOTE_FACTOR = Math.log(3);
 
-	/** Variance up to which a pace serves as the reference for a later one. */
-	private static final double WINDOW_VARIANCE = 0.06;
+	/** A pace over fewer percent is no reference for a later one. */
+	private static final int MIN_REFERENCE_PERCENT = 4;
 
 	/** A run observed for a smaller share of its progress is no sample. */
 	private static final double MIN_SAMPLE_PERCENT = 40;
@@ -285,13 +285,12 @@
 
 	void beginWindow(long nowNanos) {
 		this.windowNanos = 0;
-		if (this.anchored && !this.over) {
+		boolean hasReference = this.carried || this.percent - this.anchorPercent >= MIN_REFERENCE_PERCENT;
+		if (this.anchored && hasReference && !this.over) {
 			estimateByPace();
-			if (this.variance < WINDOW_VARIANCE) {
-				this.windowNanos = nowNanos;
-				this.windowPercent = this.percent;
-				this.windowRate = WHOLE_PERCENT / NANOS_PER_MILLI / Math.exp(this.mean);
-			}
+			this.windowNanos = nowNanos;
+			this.windowPercent = this.percent;
+			this.windowRate = WHOLE_PERCENT / NANOS_PER_MILLI / Math.exp(this.mean);
 		}
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/SpeedWindow.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/SpeedWindow.java
@@ -63,28 +63,33 @@
 		}
 		Sum single = sum(runs, false, nowNanos);
 		Sum gangs = sum(runs, true, nowNanos);
-		Sum used = (single.runs > 0) ? single : gangs;
+		Sum used = (single.expected >= MIN_EXPECTED || gangs.runs == 0) ? single : gangs;
+		if (used.runs == 0) {
+			begin(runs, nowNanos);
+			return 0;
+		}
 		if (used.expected < MIN_EXPECTED && elapsed < MAX_NANOS) {
 			return 0;
 		}
 		long windowStart = this.startNanos;
 		begin(runs, nowNanos);
 		double change = used.change();
-		if (used.runs == 0 || Math.abs(change) < MIN_CHANGE || used.agreeing(change) < MIN_AGREEING) {
+		if (Math.abs(change) < MIN_CHANGE || used.agreeing(change) < MIN_AGREEING) {
 			this.windowsInRow = 0;
 			this.suspect = false;
-			this.normalNanos = (used.runs > 0) ? nowNanos : this.normalNanos;
+			this.normalNanos = nowNanos;
 			return 0;
 		}
 		this.windowsInRow++;
 		if (used == gangs) {
 			return gangChange(runs, worker, change, windowStart);
 		}
-		return (used.runs > 1 || this.windowsInRow > 1) ? change : 0;
+		int agreeing = used.runs + ((gangs.runs > 0 && gangs.agreeing(change) > 0) ? 1 : 0);
+		return (agreeing > 1 || this.windowsInRow > 1) ? change : 0;
 	}
 
-	// A gang that slows down does not tell which of its members is at fault, unless the
-	// workers of all others prove to be as fast as before.
+	// A gang that slows down does not tell which of its members is at fault. It is this
+	// worker if no other one, of which a change cannot be ruled out, is in all of them.
 	private double gangChange(List<RunTrack> runs, WorkerModel worker, double change, long windowStart) {
 		if (change > 0) {
 			boolean slowest = runs.stream()
@@ -93,14 +98,19 @@
 			return slowest ? change : 0;
 		}
 		this.suspect = true;
+		List<WorkerModel> suspects = null;
 		for (RunTrack run : runs) {
-			for (WorkerModel other : run.step().gangWorkers()) {
-				if (other != worker && !other.window().normalSince(windowStart)) {
-					return 0;
-				}
+			List<WorkerModel> members = run.step().gangWorkers();
+			if (suspects == null) {
+				suspects = members.stream()
+					.filter((other) -> other != worker && !other.window().normalSince(windowStart))
+					.toList();
+			}
+			else {
+				suspects = suspects.stream().filter(members::contains).toList();
 			}
 		}
-		return change;
+		return (suspects == null || suspects.isEmpty()) ? change : 0;
 	}
 
 	private boolean normalSince(long sinceNanos) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/WorkerModel.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/WorkerModel.java
@@ -19,9 +19,14 @@
 
 	/**
 	 * Weight of the prior in the choice of the centre, relative to the run that counts
-	 * most: a single run decides nothing, two that agree do.
+	 * most: a single straggler decides nothing, two that agree do.
 	 */
-	private static final double PRIOR_SHARE = 1.3;
+	private static final double PRIOR_SHARE = 0.9;
+
+	/** A run that deviates by more than a factor of 3 is more likely a straggler. */
+	private static final double FAR = 1.1;
+
+	private static final double FAR_SHARE = 0.6;
 
 	/** Weight of the prior in the mean around the centre. */
 	private static final double PRIOR_MEAN_WEIGHT = 0.1;
@@ -191,6 +196,7 @@
 		double heaviest = 0;
 		for (int index = 0; index < count; index++) {
 			heaviest = Math.max(heaviest, this.weights[index]);
+			this.weights[index] *= isFar(this.ratios[index]) ? FAR_SHARE : 1;
 		}
 		if (count == 0) {
 			return;
@@ -211,6 +217,10 @@
 		this.open = 0;
 	}
 
+	private boolean isFar(double ratio) {
+		return Math.abs(ratio) > FAR && Math.abs(ratio - this.logSpeed) > FAR;
+	}
+
 	// Insertion sort, as there are few values and most of them keep their order.
 	private double weightedMedian(int count) {
 		double total = 0;
