--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/ClassModel.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/ClassModel.java
@@ -50,12 +50,20 @@
 	/** Learned values come into use if their error is below this share. */
 	private static final double USE_SHARE = 0.9;
 
+	/** A smaller advantage is not worth a change, and may be chance. */
+	private static final double USE_ADVANTAGE = 0.03;
+
 	/** A residual counts for the regression up to so many mean absolute errors. */
 	private static final double MAX_RESIDUAL = 4;
 
 	private static final double MIN_ERROR = 0.1;
 
-	private static final double TAIL_STEP = 0.25;
+	private static final double TAIL_STEP = 0.15;
+
+	/** Bounds of the ratio of the 0.9 quantile to the mean absolute error. */
+	private static final double MIN_TAIL_RATIO = 1;
+
+	private static final double MAX_TAIL_RATIO = 4;
 
 	private static final double TAIL_SHARE = 0.9;
 
@@ -233,21 +241,23 @@
 	}
 
 	private void updateErrors(double callerResidual, double residual, double sampleWeight) {
+		double callerRatio = tailRatio(this.callerTail, this.callerError, callerResidual, sampleWeight);
+		double learnedRatio = tailRatio(this.learnedTail, this.learnedError, residual, sampleWeight);
 		this.errorWeight = Math.min(this.errorWeight + sampleWeight, ERROR_MEMORY);
 		double share = Math.min(1, sampleWeight / this.errorWeight);
 		this.callerError += share * (Math.abs(callerResidual) - this.callerError);
 		this.learnedError += share * (Math.abs(residual) - this.learnedError);
-		this.callerTail = tail(this.callerTail, callerResidual, this.callerError, sampleWeight);
-		this.learnedTail = tail(this.learnedTail, residual, this.learnedError, sampleWeight);
+		this.callerTail = callerRatio * this.callerError;
+		this.learnedTail = learnedRatio * this.learnedError;
 	}
 
-	// Stochastic approximation of a quantile.
-	private double tail(double before, double residual, double error, double sampleWeight) {
-		if (this.errorWeight <= MIN_USED_WEIGHT) {
-			return TAIL_PER_ERROR * error;
+	// Stochastic approximation of a quantile, relative to the mean absolute error.
+	private double tailRatio(double tail, double error, double residual, double sampleWeight) {
+		if (this.errorWeight < MIN_USED_WEIGHT || error == 0) {
+			return TAIL_PER_ERROR;
 		}
-		double step = TAIL_STEP * Math.max(MIN_ERROR, error) * sampleWeight;
-		return Math.max(0, before + step * ((residual > before) ? TAIL_SHARE : TAIL_SHARE - 1));
+		double step = TAIL_STEP * sampleWeight * ((residual > tail) ? TAIL_SHARE : TAIL_SHARE - 1);
+		return Math.clamp(tail / error + step, MIN_TAIL_RATIO, MAX_TAIL_RATIO);
 	}
 
 	void clearOpen() {
@@ -273,7 +283,7 @@
 	boolean decideUse() {
 		boolean before = this.used;
 		this.used = this.weight >= MIN_USED_WEIGHT
-				&& this.learnedError < this.callerError * (this.used ? 1 : USE_SHARE);
+				&& this.learnedError < (this.used ? this.callerError : this.callerError * USE_SHARE - USE_ADVANTAGE);
 		return this.used != before;
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunObserver.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunObserver.java
@@ -292,6 +292,14 @@
 		return this.summaries.next(nowNanos);
 	}
 
+	/**
+	 * Returns the number of runs in progress that are observed.
+	 * @return the number of runs
+	 */
+	public int openRuns() {
+		return this.tracks.size();
+	}
+
 	/**
 	 * Returns and clears the events since the last call.
 	 * @return the events
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunTrack.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunTrack.java
@@ -280,7 +280,7 @@
 		if (hasPace || (mayStandStill && !this.anchored)) {
 			return 0;
 		}
-		return (this.lastNanos - (this.anchored ? this.anchorNanos : this.firstNanos)) / NANOS_PER_MILLI;
+		return (this.lastNanos - (mayStandStill ? this.anchorNanos : this.firstNanos)) / NANOS_PER_MILLI;
 	}
 
 	void beginWindow(long nowNanos) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/SpeedWindow.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/SpeedWindow.java
@@ -26,6 +26,11 @@
 
 	private static final double FASTER = 1.33;
 
+	/** Fewer expected percent do not show that a worker is as fast as before. */
+	private static final double MIN_KEPT = 1.5;
+
+	private static final double PERCENT_ERROR = 0.5;
+
 	/** Added to both sides, so that a standstill is a large change and not infinite. */
 	private static final double OFFSET = 0.3;
 
@@ -80,6 +85,10 @@
 			this.normalNanos = nowNanos;
 			return 0;
 		}
+		if (used == gangs && change < 0 && single.keepsPace()) {
+			this.normalNanos = nowNanos;
+			return 0;
+		}
 		this.windowsInRow++;
 		if (used == gangs) {
 			return gangChange(runs, worker, change, windowStart);
@@ -159,6 +168,11 @@
 			}
 		}
 
+		// Whether the runs progress as before, as far as few percent can tell.
+		boolean keepsPace() {
+			return this.expected >= MIN_KEPT && this.gained + PERCENT_ERROR > SLOWER * (this.expected + PERCENT_ERROR);
+		}
+
 		double change() {
 			return Math.log((this.gained + OFFSET) / (this.expected + OFFSET));
 		}
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/StepTrack.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/StepTrack.java
@@ -167,7 +167,10 @@
 		for (DoneRun run : this.done) {
 			scratch[this.paced++] = run.logMillis() + run.worker().logSpeed();
 		}
-		for (RunTrack run : this.runs) {
+		// As many of the runs in progress are left out as of those that are done.
+		int stride = Math.max(1, this.doneCount / MAX_DONE);
+		for (int index = 0; index < this.runs.size(); index += stride) {
+			RunTrack run = this.runs.get(index);
 			if (run.paced() && !run.remote()) {
 				scratch[this.paced++] = run.logPace() + run.logSpeed();
 			}
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/SummaryWriter.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/SummaryWriter.java
@@ -40,6 +40,8 @@
 
 	private long dueNanos;
 
+	private int turn;
+
 	SummaryWriter(LearnedRunTimes runTimes, WorkerSpeeds speeds, RunTimes recorded, long nowNanos) {
 		this.runTimes = runTimes;
 		this.speeds = speeds;
@@ -55,13 +57,20 @@
 		List<ClassRunTimes> classes = new ArrayList<>();
 		List<WorkerSpeed> changed = new ArrayList<>();
 		int bytes = COMMAND_BYTES;
-		for (WorkerModel worker : this.speeds.models()) {
+		List<WorkerModel> differing = this.speeds.models()
+			.stream()
+			.filter((worker) -> worker.measured() && worker.differsFrom(this.recorded.percent(worker.worker())))
+			.toList();
+		// Where not all fit, each one has its turn.
+		for (int index = 0; index < differing.size(); index++) {
+			WorkerModel worker = differing.get((index + this.turn) % differing.size());
 			int size = SPEED_BYTES + bytes(worker.worker().value());
-			if (worker.measured() && worker.differsFrom(this.recorded.percent(worker.worker()))
-					&& bytes + size <= MAX_BYTES / 2) {
-				bytes += size;
-				changed.add(worker.summary());
+			if (bytes + size > MAX_BYTES / 2) {
+				this.turn += index;
+				break;
 			}
+			bytes += size;
+			changed.add(worker.summary());
 		}
 		for (ClassRunTimes summary : this.runTimes.changed(this.recorded)) {
 			int size = CLASS_BYTES + bytes(summary.queue())
