Judge stalls by the pace of a run, and leave workers that became slow

The stall timeout was a share of the caller's estimate, so that a run whose estimate is too short, or a straggler, could count as stalled.

The timeout is now a share of the run time that the forecast expected when the run last made progress. The pace since then does not count: a worker that is stuck would otherwise appear as merely slow. A run that saves checkpoints also leaves a worker whose speed fell below half of what it was and of the typical worker, if by the forecast it ends sooner elsewhere and there is room. The gang then avoids only this worker. MAX_MOVES and MAX_SUSPECT_SHARE apply as before. FLEET_RUN_MOVED tells the cause.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
@@ -119,14 +119,16 @@
 	}
 
 	/**
-	 * A stalled run is stopped so that its task restarts on another worker.
+	 * A run is stopped so that its task restarts on another worker.
 	 *
 	 * @param task the task
 	 * @param run the run number
-	 * @param incarnation the incarnation of the worker on which it stalled
+	 * @param incarnation the incarnation of the worker that it leaves
 	 * @param percent the progress in percent, 0 to 100
+	 * @param cause why it is moved
 	 */
-	record RunMoved(TaskId task, int run, WorkerIncarnation incarnation, int percent) implements FleetEvent {
+	record RunMoved(TaskId task, int run, WorkerIncarnation incarnation, int percent,
+			MoveCause cause) implements FleetEvent {
 
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/RunProgress.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/RunProgress.java
@@ -46,6 +46,17 @@
 		return this.forecast.totalMillis(this.runClass, this.spec.estimatedMillis(), Quantile.MEDIAN);
 	}
 
+	/**
+	 * Returns the expected time of the whole run on its worker: that of the task, or more
+	 * when the pace of the run is slower.
+	 * @return the time in milliseconds
+	 */
+	long wholeRunMillis() {
+		int left = WHOLE_PERCENT - this.percent;
+		return (left > 0) ? Math.max(totalMillis(), remainingMillis(Quantile.MEDIAN) * WHOLE_PERCENT / left)
+				: totalMillis();
+	}
+
 	/**
 	 * Returns the work that the run has done.
 	 * @return the run time of this part of the task at nominal speed, in milliseconds
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/StalledRunMover.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/StalledRunMover.java
@@ -14,18 +14,21 @@
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.state.FleetState;
+import io.verbenatrack.fleet.state.JobState;
 import io.verbenatrack.fleet.state.StepState;
 import io.verbenatrack.fleet.state.TaskState;
 
 /**
- * Stops stalled runs so that their tasks restart on other workers. For a while a task
- * avoids the workers on which it stalled; when this is a single worker, the worker is
- * also suspected and gets no new tasks.
+ * Stops stalled runs, and runs that end sooner on other workers as their own became slow,
+ * so that their tasks restart on other workers. For a while a task avoids the workers on
+ * which it stalled; when this is a single worker, the worker is also suspected and gets
+ * no new tasks.
  *
  * <p>
  * The members of a gang wait for each other, so a stall of one stalls all of them and
  * does not tell which worker is at fault. A gang on several workers therefore avoids all
- * of them, and none of them is suspected.
+ * of them, and none of them is suspected. When a worker became slow, it alone is avoided
+ * and suspected.
  */
 final class StalledRunMover {
 
@@ -49,6 +52,8 @@
 
 	private final StallDetector stallDetector = new StallDetector();
 
+	private final SlowedWorkers slowedWorkers;
+
 	/** The numbers of the runs that are to stop. */
 	private final Map<TaskId, Integer> moving = new HashMap<>();
 
@@ -61,10 +66,12 @@
 		this.state = state;
 		this.registry = registry;
 		this.forecast = forecast;
+		this.slowedWorkers = new SlowedWorkers(state, registry, forecast);
 	}
 
 	/**
-	 * Checks the runs in the latest report of a worker, and moves those that stalled.
+	 * Checks the runs in the latest report of a worker, and moves those that stalled or
+	 * whose worker became slow.
 	 * @param worker the worker
 	 * @param nowNanos the time of the report in nanoseconds of the monotonic clock
 	 * @return an event for each run that is moved
@@ -79,21 +86,34 @@
 			}
 			boolean local = isLocal(run.task(), step.get());
 			TaskId moveUnit = moveUnit(run.task(), step.get().spec().gang());
-			if (this.stallDetector.shouldMove(run, step.get().spec(), local, nowNanos) && suspectsWithinLimit(nowNanos)
+			Optional<MoveCause> cause = moveCause(run, step.get(), worker, local, nowNanos);
+			if (cause.isPresent() && suspectsWithinLimit(nowNanos)
 					&& this.moveCounts.merge(moveUnit, 1, Integer::sum) <= MAX_MOVES) {
-				move(run, step.get(), worker, nowNanos);
-				events.add(new FleetEvent.RunMoved(run.task(), run.run(), worker.incarnation(), run.percent()));
+				move(run, step.get(), worker, cause.get(), nowNanos);
+				events.add(new FleetEvent.RunMoved(run.task(), run.run(), worker.incarnation(), run.percent(),
+						cause.get()));
 			}
 		}
 		return events;
 	}
 
+	private Optional<MoveCause> moveCause(ReportedRun run, StepState step, TrackedWorker worker, boolean local,
+			long nowNanos) {
+		JobState job = this.state.job(run.task().job()).orElseThrow();
+		RunProgress progress = RunProgress.of(this.forecast, job, step, run.task(), worker);
+		if (this.stallDetector.shouldMove(run, step.spec(), progress::wholeRunMillis, local, nowNanos)) {
+			return Optional.of(MoveCause.STALLED);
+		}
+		return this.slowedWorkers.shouldLeave(run, step, progress, worker, StallDetector.MOVE_OVERHEAD_MILLIS)
+				? Optional.of(MoveCause.WORKER_SLOWED) : Optional.empty();
+	}
+
 	private boolean suspectsWithinLimit(long nowNanos) {
 		long suspects = this.registry.workers().stream().filter((worker) -> worker.suspected(nowNanos)).count();
 		return suspects <= MAX_SUSPECT_SHARE * this.registry.workers().size();
 	}
 
-	private void move(ReportedRun run, StepState step, TrackedWorker worker, long nowNanos) {
+	private void move(ReportedRun run, StepState step, TrackedWorker worker, MoveCause cause, long nowNanos) {
 		boolean gang = step.spec().gang();
 		Set<WorkerIncarnation> incarnations = new HashSet<>();
 		int members = gang ? step.tasks().size() : 1;
@@ -103,6 +123,9 @@
 			current.runningOn().ifPresent(incarnations::add);
 			this.moving.put(task, current.run());
 		}
+		if (cause == MoveCause.WORKER_SLOWED) {
+			incarnations.retainAll(Set.of(worker.incarnation()));
+		}
 		if (incarnations.size() <= 1) {
 			worker.suspect(nowNanos);
 		}
@@ -179,6 +202,7 @@
 		this.state.incarnationsInUse()
 			.forEach((incarnation) -> running.addAll(this.state.runsOn(incarnation).keySet()));
 		this.stallDetector.retain(running);
+		this.slowedWorkers.update(running);
 	}
 
 }
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/StallDetectorTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/StallDetectorTests.java
@@ -35,9 +35,23 @@
 			boolean shouldMove) {
 		StallDetector detector = new StallDetector();
 		ReportedRun run = new ReportedRun(TASK, 1, "", percent);
-		assertThat(detector.shouldMove(run, Fixtures.step(1, 1, false), local, 0)).isFalse();
+		assertThat(detector.shouldMove(run, Fixtures.step(1, 1, false), () -> 5000, local, 0)).isFalse();
 		long now = Duration.ofMillis(stalledMillis).toNanos();
-		assertThat(detector.shouldMove(run, Fixtures.step(1, 1, false), local, now)).as(name).isEqualTo(shouldMove);
+		assertThat(detector.shouldMove(run, Fixtures.step(1, 1, false), () -> 5000, local, now)).as(name)
+			.isEqualTo(shouldMove);
+	}
+
+	// Guards against a straggler that is moved for gaining a percent as seldom as it was
+	// seen to, and against a stuck worker that counts as slow since its runs stand still.
+	@Test
+	public void paceBeforeTheStallDecides() {
+		StallDetector detector = new StallDetector();
+		ReportedRun run = new ReportedRun(TASK, 1, "", 10);
+		assertThat(detector.shouldMove(run, Fixtures.step(1, 1, false), () -> 35_000, true, 0)).isFalse();
+		long afterOnePercent = Duration.ofMillis(2000).toNanos();
+		assertThat(detector.shouldMove(run, Fixtures.step(1, 1, false), () -> 35_000, true, afterOnePercent)).isFalse();
+		long stuck = Duration.ofMillis(8000).toNanos();
+		assertThat(detector.shouldMove(run, Fixtures.step(1, 1, false), () -> 1_000_000, true, stuck)).isTrue();
 	}
 
 }
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
@@ -90,7 +90,7 @@
 			case FleetEvent.RunMoved moved -> events.write(LogEvent.FLEET_RUN_MOVED,
 					new Field("job", moved.task().job()), new Field("task", taskNumber(moved.task())),
 					new Field("run", moved.run()), new Field("worker", moved.incarnation().worker()),
-					new Field("percent", moved.percent()), termField);
+					new Field("percent", moved.percent()), new Field("cause", moved.cause()), termField);
 			case FleetEvent.ForecastChanged changed -> write(events, termField, changed.change());
 			case FleetEvent.JobWaits waits -> events.write(LogEvent.FLEET_JOB_WAITS, new Field("job", waits.job()),
 					new Field("step", waits.step()), new Field("tasks", waits.tasks()),
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -245,9 +245,10 @@
 	FLEET_WORKER_SUSPECTED(6023, System.Logger.Level.WARNING,
 			"Several consecutive jobs failed on a worker, so it temporarily gets no new work.", "Check the worker."),
 
-	/** A run makes no progress. */
+	/** A run makes no progress, or its worker became slow. */
 	FLEET_RUN_MOVED(6024, System.Logger.Level.WARNING,
-			"A run makes no progress and is stopped, to be restarted on another worker.", "Check the worker."),
+			"A run makes no progress, or its worker became slow. It is stopped, to be restarted on another worker.",
+			"Check the worker."),
 
 	/** A call that was received got no reply by its deadline. */
 	FLEET_CALL_OVERDUE(6025, System.Logger.Level.ERROR,
