Ask only gangs that avoid a worker which ones they avoid

For each waiting gang a pass asked for each worker and each member whether the member avoids the worker, which took two thirds of the pass. It also grouped workers by rack for gangs that cannot fit.

Ask first whether any member avoids a worker, and return early when there are fewer places than members.

The rest of the latter is spent in PreemptionPlanner.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/Eligibility.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/Eligibility.java
@@ -80,10 +80,10 @@
 	 * @return the workers for which no rule but their resources and reservations matters
 	 */
 	List<CandidateWorker> forGang(PendingStep step, Collection<CandidateWorker> candidates) {
-		boolean avoidanceEnded = avoidanceEnded(step, 0);
+		boolean avoids = anyMemberAvoids(step) && !avoidanceEnded(step, 0);
 		return candidates.stream()
 			.filter((candidate) -> candidate.matches(step.spec()))
-			.filter((candidate) -> avoidanceEnded || !avoidsForAnyMember(step, candidate))
+			.filter((candidate) -> !avoids || !avoidsForAnyMember(step, candidate))
 			.toList();
 	}
 
@@ -94,7 +94,13 @@
 	 * @return the preferred ones among them
 	 */
 	List<CandidateWorker> preferred(PendingStep step, Collection<CandidateWorker> candidates) {
-		return candidates.stream().filter((candidate) -> !avoidsForAnyMember(step, candidate)).toList();
+		boolean avoids = anyMemberAvoids(step);
+		return candidates.stream().filter((candidate) -> !avoids || !avoidsForAnyMember(step, candidate)).toList();
+	}
+
+	// Few gangs avoid a worker, and asking for each worker takes most of a pass.
+	private boolean anyMemberAvoids(PendingStep step) {
+		return step.waiting().stream().anyMatch((index) -> avoidsAny(step, index));
 	}
 
 	private boolean avoidsForAnyMember(PendingStep step, CandidateWorker candidate) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
@@ -47,6 +47,9 @@
 	 */
 	Optional<Map<Integer, CandidateWorker>> place(PendingStep step, SpeedPreference preference, boolean allowSpread) {
 		List<CandidateWorker> eligible = unreserved(step);
+		if (eligible.stream().mapToLong((candidate) -> candidate.maxTasks(step.spec())).sum() < step.waiting().size()) {
+			return Optional.empty();
+		}
 		if (!step.spec().rackSensitive()) {
 			return packInOneOf(List.of(eligible), step, preference);
 		}
