--- a/bench/src/main/java/io/verbenatrack/bench/fleet/DrawnClass.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/DrawnClass.java
@@ -51,6 +51,11 @@
 				new DrawnClass("batch", 1.2, 39, false, 9500, 0.8, 1, 0.05, 0.05));
 	}
 
+	DrawnClass withRate(double jobsPerSecond) {
+		return new DrawnClass(this.queue, jobsPerSecond, this.tasks, this.gang, this.medianMillis, this.estimateSpread,
+				this.slope, this.spread, this.taskSpread);
+	}
+
 	long estimate(Random random) {
 		return Math.max(1, Math.round(this.medianMillis * Math.exp(this.estimateSpread * random.nextGaussian())));
 	}
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/DrawnFleet.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/DrawnFleet.java
@@ -39,6 +39,9 @@
 
 	private static final long TICK_MILLIS = 25;
 
+	/** Longer than an ordinary report takes. */
+	private static final long MIN_SWEEP_NANOS = 200_000;
+
 	private static final double STRAGGLER_FACTOR = 7;
 
 	private static final Resources ROOM = new Resources(1000, 1000, 1);
@@ -77,7 +80,7 @@
 
 	private long observeNanos;
 
-	private long longestObserveNanos;
+	private final List<Double> sweepMillis = new ArrayList<>();
 
 	private long summaryBytes;
 
@@ -130,8 +133,29 @@
 		return this.observeNanos;
 	}
 
-	long longestObserveNanos() {
-		return this.longestObserveNanos;
+	/**
+	 * Forecasts the remaining times of all runs in progress.
+	 * @return the sum of the remaining times in milliseconds
+	 */
+	long forecastAll() {
+		long sum = 0;
+		for (Worker worker : this.workers) {
+			for (Run run : worker.running) {
+				int percent = (int) Math.min(100, 100 * run.doneMillis / run.workMillis);
+				sum += this.observer.forecast()
+					.remainingMillis(run.task, 1, new RunClass(run.drawn.queue(), new AccountId("account-0")),
+							run.estimate, percent, Quantile.CAUTIOUS);
+			}
+		}
+		return sum;
+	}
+
+	/**
+	 * Returns the times of the reports in whose turn all runs were compared.
+	 * @return the times in milliseconds
+	 */
+	double[] sweepMillis() {
+		return this.sweepMillis.stream().mapToDouble(Double::doubleValue).toArray();
 	}
 
 	long summaryBytes() {
@@ -275,7 +299,9 @@
 		long nanos = System.nanoTime() - started;
 		this.reports++;
 		this.observeNanos += nanos;
-		this.longestObserveNanos = Math.max(this.longestObserveNanos, nanos);
+		if (nanos > MIN_SWEEP_NANOS) {
+			this.sweepMillis.add(nanos / 1e6);
+		}
 		ended.forEach(
 				(end) -> ends.add(new FleetCommand.EndRun(end.task(), 1, worker.incarnation, RunOutcome.DONE, "")));
 	}
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/RunForecastBench.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/RunForecastBench.java
@@ -29,6 +29,15 @@
 
 	private static final int TRIALS = 20;
 
+	private static final int COST_WORKERS = 990;
+
+	private static final int COST_RUNS = 100_000;
+
+	/** Times the load of a fleet a quarter as large. */
+	private static final double COST_LOAD = 8;
+
+	private static final int FORECAST_PASSES = 200;
+
 	private static final long MAX_SEEN_MILLIS = 10_000;
 
 	private RunForecastBench() {
@@ -151,19 +160,30 @@
 	private static void measureCost(long seed, PrintStream out) {
 		List<DrawnClass> classes = DrawnClass.floodWarning()
 			.stream()
-			.map((drawn) -> new DrawnClass(drawn.queue(), drawn.perSecond() * 3, drawn.tasks(), drawn.gang(),
-					drawn.medianMillis(), drawn.estimateSpread(), drawn.slope(), drawn.spread(), drawn.taskSpread()))
+			.map((drawn) -> drawn.withRate(COST_LOAD * drawn.perSecond()))
 			.toList();
-		DrawnFleet fleet = new DrawnFleet(classes, 990, true, 0.03, seed);
-		while (fleet.ended() < 100_000) {
+		DrawnFleet fleet = new DrawnFleet(classes, COST_WORKERS, true, 0.03, seed);
+		while (fleet.ended() < COST_RUNS) {
 			fleet.advance();
 		}
-		long with = usedBytes();
 		double seconds = fleet.nowMillis() / 1000.0;
+		double[] sweeps = fleet.sweepMillis();
 		out.printf(Locale.ROOT,
-				"cost: %d runs ended in %.0f s, %d in progress; %.1f us a report, longest %.1f ms; summaries %.0f bytes a second, longest %d%n",
-				fleet.ended(), seconds, fleet.running(), fleet.observeNanos() / 1000.0 / fleet.reports(),
-				fleet.longestObserveNanos() / 1e6, fleet.summaryBytes() / seconds, fleet.longestSummaryBytes());
+				"cost: %d workers, %d runs ended in %.0f s, %d in progress; %.1f us a report, "
+						+ "%.1f ms (median) %.1f ms (0.99) a comparison of all runs%n",
+				COST_WORKERS, fleet.ended(), seconds, fleet.running(), fleet.observeNanos() / 1000.0 / fleet.reports(),
+				quantile(sweeps.clone(), 0.5), quantile(sweeps, 0.99));
+		out.printf(Locale.ROOT, "cost: summaries %.0f bytes a second, longest %d bytes%n",
+				fleet.summaryBytes() / seconds, fleet.longestSummaryBytes());
+		long started = System.nanoTime();
+		long sum = 0;
+		for (int pass = 0; pass < FORECAST_PASSES; pass++) {
+			sum += fleet.forecastAll();
+		}
+		out.printf(Locale.ROOT, "cost: %.0f ns a remaining time, %.1f s on average%n",
+				(System.nanoTime() - started) / (double) FORECAST_PASSES / fleet.running(),
+				sum / 1000.0 / FORECAST_PASSES / fleet.running());
+		long with = usedBytes();
 		fleet.forgetObserver();
 		out.printf(Locale.ROOT, "cost: heap of the observer %.2f MB%n", (with - usedBytes()) / 1e6);
 	}
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -22,6 +22,7 @@
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.fleet.call.FleetCall;
 import io.verbenatrack.fleet.call.FleetReply;
+import io.verbenatrack.fleet.forecast.ForecastEvent;
 import io.verbenatrack.fleet.policy.FleetEvent;
 import io.verbenatrack.fleet.policy.FleetScheduler;
 import io.verbenatrack.fleet.policy.FleetTimings;
@@ -242,12 +243,25 @@
 				this.metrics.counter(MetricName.FLEET_RUNS_GIVEN_UP, givenUp.cause().name()).increment();
 			case FleetEvent.EndIgnored ignored ->
 				this.metrics.counter(MetricName.FLEET_ENDS_IGNORED, ignored.end().how().name()).increment();
+			case FleetEvent.ForecastChanged changed -> count(changed.change());
 			default -> {
 				// Not counted.
 			}
 		}
 	}
 
+	private void count(ForecastEvent change) {
+		switch (change) {
+			case ForecastEvent.RunTimesSwitched switched ->
+				this.metrics.counter(MetricName.FLEET_FORECAST_CHANGES, switched.learned() ? "learned" : "declared")
+					.increment();
+			case ForecastEvent.SpeedChanged speed ->
+				this.metrics.counter(MetricName.FLEET_FORECAST_CHANGES, "speed").increment();
+			case ForecastEvent.ValuesIgnored ignored ->
+				this.metrics.counter(MetricName.FLEET_FORECAST_VALUES_IGNORED).increment(ignored.values());
+		}
+	}
+
 	private LeaderTerm beginTerm() {
 		long term = this.log.term();
 		if (this.currentTerm.isEmpty() || this.currentTerm.get().term != term) {
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
@@ -149,7 +149,16 @@
 
 	/** Reported ends of runs that are not the current ones, by outcome. */
 	FLEET_ENDS_IGNORED(Type.COUNTER, "verbenatrack.fleet.ends.ignored", "",
-			"Reported ends of runs that are not the current ones of their tasks, by outcome.", "outcome");
+			"Reported ends of runs that are not the current ones of their tasks, by outcome.", "outcome"),
+
+	/** Changes of the expected run times of a class or the speed of a worker. */
+	FLEET_FORECAST_CHANGES(Type.COUNTER, "verbenatrack.fleet.forecast.changes", "",
+			"Changes of the expected run times of a class or the speed of a worker, by kind: learned, declared or speed.",
+			"kind"),
+
+	/** Implausible values in reports that were not used for forecasts. */
+	FLEET_FORECAST_VALUES_IGNORED(Type.COUNTER, "verbenatrack.fleet.forecast.values.ignored", "",
+			"Implausible progress or run times in reports that were not used for forecasts.");
 
 	private final Type type;
 
