--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/ClassModel.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/ClassModel.java
@@ -41,18 +41,29 @@
 
 	private static final double MIN_SPREAD = 0.1;
 
+	/** Weight up to which runs in progress complement those that have ended. */
+	private static final double MAX_OPEN_WEIGHT = 10;
+
 	/** Weight of the samples from which on learned values may be used. */
 	private static final double MIN_USED_WEIGHT = 4;
 
 	/** Learned values come into use if their error is below this share. */
 	private static final double USE_SHARE = 0.9;
 
+	/** A smaller advantage is not worth a change, and may be chance. */
+	private static final double USE_ADVANTAGE = 0.03;
+
 	/** A residual counts for the regression up to so many mean absolute errors. */
 	private static final double MAX_RESIDUAL = 4;
 
 	private static final double MIN_ERROR = 0.1;
 
-	private static final double TAIL_STEP = 0.25;
+	private static final double TAIL_STEP = 0.15;
+
+	/** Bounds of the ratio of the 0.9 quantile to the mean absolute error. */
+	private static final double MIN_TAIL_RATIO = 1;
+
+	private static final double MAX_TAIL_RATIO = 4;
 
 	private static final double TAIL_SHARE = 0.9;
 
@@ -160,14 +171,15 @@
 	 * @return the logarithm of the run time at speed 1
 	 */
 	double predict(double x, ClassModel prior) {
-		double total = this.weight + this.openWeight;
+		double share = openShare();
+		double total = this.weight + share * this.openWeight;
 		if (total == 0) {
 			return (prior != null) ? prior.predict(x, null) : x;
 		}
-		double meanX = (this.sumX + this.openX) / total;
-		double meanY = (this.sumY + this.openY) / total;
-		double varianceSum = Math.max(0, this.sumXx + this.openXx - total * meanX * meanX);
-		double covarianceSum = this.sumXy + this.openXy - total * meanX * meanY;
+		double meanX = (this.sumX + share * this.openX) / total;
+		double meanY = (this.sumY + share * this.openY) / total;
+		double varianceSum = Math.max(0, this.sumXx + share * this.openXx - total * meanX * meanX);
+		double covarianceSum = this.sumXy + share * this.openXy - total * meanX * meanY;
 		double center = (prior != null) ? prior.predict(meanX, null) : meanX;
 		double priorSlope = (prior != null) ? prior.slope() : 1;
 		double slope = (covarianceSum + SLOPE_PRIOR * priorSlope) / (varianceSum + SLOPE_PRIOR);
@@ -178,14 +190,18 @@
 	}
 
 	private double slope() {
-		double total = this.weight + this.openWeight;
-		if (total == 0) {
+		if (this.weight == 0) {
 			return 1;
 		}
-		double meanX = (this.sumX + this.openX) / total;
-		double meanY = (this.sumY + this.openY) / total;
-		double varianceSum = Math.max(0, this.sumXx + this.openXx - total * meanX * meanX);
-		return (this.sumXy + this.openXy - total * meanX * meanY + SLOPE_PRIOR) / (varianceSum + SLOPE_PRIOR);
+		double varianceSum = Math.max(0, this.sumXx - this.sumX * this.sumX / this.weight);
+		return (this.sumXy - this.sumX * this.sumY / this.weight + SLOPE_PRIOR) / (varianceSum + SLOPE_PRIOR);
+	}
+
+	// Long runs are in progress for longer, so those in progress are not typical. They
+	// count only while few runs have ended.
+	private double openShare() {
+		double room = Math.max(0, MAX_OPEN_WEIGHT - this.weight);
+		return (this.openWeight > room) ? room / this.openWeight : 1;
 	}
 
 	/**
@@ -225,21 +241,23 @@
 	}
 
 	private void updateErrors(double callerResidual, double residual, double sampleWeight) {
+		double callerRatio = tailRatio(this.callerTail, this.callerError, callerResidual, sampleWeight);
+		double learnedRatio = tailRatio(this.learnedTail, this.learnedError, residual, sampleWeight);
 		this.errorWeight = Math.min(this.errorWeight + sampleWeight, ERROR_MEMORY);
 		double share = Math.min(1, sampleWeight / this.errorWeight);
 		this.callerError += share * (Math.abs(callerResidual) - this.callerError);
 		this.learnedError += share * (Math.abs(residual) - this.learnedError);
-		this.callerTail = tail(this.callerTail, callerResidual, this.callerError, sampleWeight);
-		this.learnedTail = tail(this.learnedTail, residual, this.learnedError, sampleWeight);
+		this.callerTail = callerRatio * this.callerError;
+		this.learnedTail = learnedRatio * this.learnedError;
 	}
 
-	// Stochastic approximation of a quantile.
-	private double tail(double before, double residual, double error, double sampleWeight) {
-		if (this.errorWeight <= MIN_USED_WEIGHT) {
-			return TAIL_PER_ERROR * error;
+	// Stochastic approximation of a quantile, relative to the mean absolute error.
+	private double tailRatio(double tail, double error, double residual, double sampleWeight) {
+		if (this.errorWeight < MIN_USED_WEIGHT || error == 0) {
+			return TAIL_PER_ERROR;
 		}
-		double step = TAIL_STEP * Math.max(MIN_ERROR, error) * sampleWeight;
-		return Math.max(0, before + step * ((residual > before) ? TAIL_SHARE : TAIL_SHARE - 1));
+		double step = TAIL_STEP * sampleWeight * ((residual > tail) ? TAIL_SHARE : TAIL_SHARE - 1);
+		return Math.clamp(tail / error + step, MIN_TAIL_RATIO, MAX_TAIL_RATIO);
 	}
 
 	void clearOpen() {
@@ -258,15 +276,6 @@
 		this.openXy += sampleWeight * x * y;
 	}
 
-	/**
-	 * Moves all run times when the speed 1 becomes that of other workers.
-	 * @param offset the difference of the logarithms
-	 */
-	void shift(double offset) {
-		this.sumY += offset * this.weight;
-		this.sumXy += offset * this.sumX;
-	}
-
 	/**
 	 * Decides whether the learned values are used from now on.
 	 * @return whether this changes
@@ -274,7 +283,7 @@
 	boolean decideUse() {
 		boolean before = this.used;
 		this.used = this.weight >= MIN_USED_WEIGHT
-				&& this.learnedError < this.callerError * (this.used ? 1 : USE_SHARE);
+				&& this.learnedError < (this.used ? this.callerError : this.callerError * USE_SHARE - USE_ADVANTAGE);
 		return this.used != before;
 	}
 
