--- a/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
@@ -153,7 +153,16 @@
 
 	/** 1 while a zone is evacuated, otherwise 0, by zone. */
 	FLEET_ZONES_EVACUATED(Type.GAUGE, "verbenatrack.fleet.zones.evacuated", "",
-			"1 while an availability zone is evacuated, else 0, by zone.", "zone");
+			"1 while an availability zone is evacuated, else 0, by zone.", "zone"),
+
+	/** Changes of the expected run times of a class or the speed of a worker. */
+	FLEET_FORECAST_CHANGES(Type.COUNTER, "verbenatrack.fleet.forecast.changes", "",
+			"Changes of the expected run times of a class or the speed of a worker, by kind: learned, declared or speed.",
+			"kind"),
+
+	/** Implausible values in reports that were not used for forecasts. */
+	FLEET_FORECAST_VALUES_IGNORED(Type.COUNTER, "verbenatrack.fleet.forecast.values.ignored", "",
+			"Implausible progress or run times in reports that were not used for forecasts.");
 
 	private final Type type;
 
