--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/SpeedWindow.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/SpeedWindow.java
@@ -11,6 +11,9 @@
 
 	private static final long MIN_NANOS = 400_000_000L;
 
+	/** Gangs may be held up elsewhere, so single runs are waited for up to this time. */
+	private static final long GANG_NANOS = 1_000_000_000L;
+
 	private static final long MAX_NANOS = 3_000_000_000L;
 
 	/** Whole percents make a window with less expected progress too inexact. */
@@ -68,6 +71,9 @@
 		}
 		Sum single = sum(runs, false, nowNanos);
 		Sum gangs = sum(runs, true, nowNanos);
+		if (single.runs > 0 && single.expected < MIN_EXPECTED && elapsed < GANG_NANOS) {
+			return 0;
+		}
 		Sum used = (single.expected >= MIN_EXPECTED || gangs.runs == 0) ? single : gangs;
 		if (used.runs == 0) {
 			begin(runs, nowNanos);
