--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunObserver.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunObserver.java
@@ -190,7 +190,10 @@
 		}
 		worker.change(change, nowNanos);
 		worker.window().clear();
-		this.reported.forEach((run) -> run.step().updateGang());
+		this.reported.forEach((run) -> {
+			run.step().updateGang();
+			run.discardEstimate();
+		});
 	}
 
 	private void sweep(long nowNanos) {
@@ -208,6 +211,7 @@
 		});
 		this.speeds.update(nowNanos);
 		this.speeds.anchor();
+		this.tracks.steps().forEach((step) -> step.runs().forEach(RunTrack::discardEstimate));
 		this.runTimes.decideUse(nowNanos, this.events);
 		this.speeds.report(this.events);
 		if (this.ignoredValues > 0 && nowNanos - this.ignoredEventNanos >= IGNORED_EVENT_INTERVAL_NANOS) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunTrack.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/RunTrack.java
@@ -78,6 +78,13 @@
 
 	private double variance;
 
+	/** The estimate since the last report, as many forecasts are made between reports. */
+	private boolean estimated;
+
+	private double estimatedMean;
+
+	private double estimatedDeviation;
+
 	/** Values at the start of the worker's window. */
 	private long windowNanos;
 
@@ -142,6 +149,7 @@
 	 * @return whether the report is plausible
 	 */
 	boolean progress(int newPercent, long nowNanos) {
+		this.estimated = false;
 		if (newPercent < 0 || newPercent > WHOLE_PERCENT) {
 			return false;
 		}
@@ -191,6 +199,7 @@
 	 * @param logSpeedBefore the speed at which the pace was observed
 	 */
 	void restartPace(double logSpeedBefore) {
+		this.estimated = false;
 		if (!this.anchored) {
 			return;
 		}
@@ -258,6 +267,21 @@
 	 * @return the logarithm of the milliseconds
 	 */
 	double estimate(double quantiles) {
+		if (!this.estimated) {
+			estimateTotal();
+			this.estimated = true;
+			this.estimatedMean = this.mean;
+			this.estimatedDeviation = Math.sqrt(this.variance);
+		}
+		return this.estimatedMean + quantiles * this.estimatedDeviation;
+	}
+
+	/** Discards the estimate, after a change of the speeds or of the step. */
+	void discardEstimate() {
+		this.estimated = false;
+	}
+
+	private void estimateTotal() {
 		estimateByPace();
 		double paceMean = this.mean;
 		double paceVariance = this.variance;
@@ -266,7 +290,6 @@
 		if (paceVariance < Double.MAX_VALUE) {
 			combine(paceMean, paceVariance);
 		}
-		return this.mean + quantiles * Math.sqrt(this.variance);
 	}
 
 	/**
