--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/LearnedRunTimes.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/LearnedRunTimes.java
@@ -51,10 +51,6 @@
 		return this.models.size();
 	}
 
-	long used() {
-		return this.models.values().stream().filter(ClassModel::used).count();
-	}
-
 	/**
 	 * Returns whether a run time is plausible.
 	 * @param millis the run time in milliseconds, or NaN
--- a/fleet/src/main/java/io/verbenatrack/fleet/forecast/StepTrack.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/forecast/StepTrack.java
@@ -124,10 +124,6 @@
 		return this.paced >= MIN_PACED;
 	}
 
-	int paced() {
-		return this.paced;
-	}
-
 	/**
 	 * Returns the run time that the step's runs in progress tell, or what was expected.
 	 * @return the logarithm of the run time at speed 1
