Limit preemption, and log for which step room is made

Cause: each placement pass planned preemption anew while the stops of the previous plan arrived one by one, closed the workers of one plan to the plans of other steps, and let other steps start in the freed room.

Change: a plan is kept until its step starts, and its room is held for the step. Further steps use what is left of it. A gang is one victim: its loss counts once and the room of all its members is used. The cost of a victim grows with earlier preemptions of its step. Without a guarantee, no step is preempted twice within its objective, and the loss per victim, per plan and per second is bounded. FLEET_RUN_PREEMPTED names the starting step, the lost work and the earlier preemptions. FLEET_JOB_WAITS is repeated every 2 s with the reason and the holders, at most 50 lines a second. Preempted runs and lost work are counted.

--- a/fleet/src/main/java/io/verbenatrack/fleet/model/Resources.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/model/Resources.java
@@ -32,6 +32,25 @@
 				this.accelerators - other.accelerators);
 	}
 
+	/**
+	 * Returns the resources of several copies.
+	 * @param copies the number of copies
+	 * @return the product
+	 */
+	public Resources times(int copies) {
+		return new Resources(this.cpuMillis * copies, this.memoryMb * copies, this.accelerators * copies);
+	}
+
+	/**
+	 * Returns the larger amount of each part.
+	 * @param other the resources to compare with
+	 * @return the maximum by part
+	 */
+	public Resources atLeast(Resources other) {
+		return new Resources(Math.max(this.cpuMillis, other.cpuMillis), Math.max(this.memoryMb, other.memoryMb),
+				Math.max(this.accelerators, other.accelerators));
+	}
+
 	/**
 	 * Returns whether these resources fit into free ones.
 	 * @param free the free resources
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/CandidateWorker.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/CandidateWorker.java
@@ -27,7 +27,7 @@
 
 	private int runs;
 
-	private boolean reserved;
+	private Resources pledged = Resources.NONE;
 
 	CandidateWorker(TrackedWorker worker) {
 		this.worker = worker;
@@ -74,14 +74,26 @@
 	}
 
 	/**
-	 * Excludes tasks of lower priority while preemption frees resources on the worker.
+	 * Claims resources for a step for which runs are stopped.
+	 * @param freePart the part of the free resources
+	 * @param stoppingPart the part of the resources of runs that are to stop
 	 */
-	void reserve() {
-		this.reserved = true;
+	void claim(Resources freePart, Resources stoppingPart) {
+		this.free = this.free.minus(freePart);
+		this.pledged = this.pledged.plus(stoppingPart);
 	}
 
-	boolean reserved() {
-		return this.reserved;
+	void unclaim(Resources freePart, Resources stoppingPart) {
+		this.free = this.free.plus(freePart);
+		this.pledged = this.pledged.minus(stoppingPart);
+	}
+
+	/**
+	 * Returns the claimed resources of runs that are to stop.
+	 * @return the resources
+	 */
+	Resources pledged() {
+		return this.pledged;
 	}
 
 	static Collection<List<CandidateWorker>> byRack(Collection<CandidateWorker> candidates) {
@@ -105,8 +117,13 @@
 	 * milliseconds of run time weighted by its resources
 	 * @param remainingMillis the remaining run time in milliseconds, by the caller's
 	 * estimate; {@link #NEVER_ENDS} for a task that lasts
+	 * @param unit the task, or the first member of its gang
+	 * @param doneShare the share of its expected work that stopping it would discard, 0
+	 * to 1
+	 * @param stopping whether the task is to stop
 	 */
-	record RunningTask(TaskId task, Resources room, int priority, double lostWorkMillis, long remainingMillis) {
+	record RunningTask(TaskId task, Resources room, int priority, double lostWorkMillis, long remainingMillis,
+			TaskId unit, double doneShare, boolean stopping) {
 
 		static final long NEVER_ENDS = Long.MAX_VALUE;
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
@@ -1,5 +1,6 @@
 package io.verbenatrack.fleet.policy;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.verbenatrack.fleet.model.ReportedEnd;
@@ -112,8 +113,15 @@
 	 *
 	 * @param task the task that is stopped
 	 * @param run the run number
+	 * @param startingStep the first task of the step that is to start
+	 * @param guaranteed whether that step is within the guarantee of its client account
+	 * @param lostMillis the work that is discarded, in milliseconds of an accelerator; a
+	 * core counts as an eighth of an accelerator
+	 * @param earlierPreemptions how often the step of the task was preempted before in
+	 * this term
 	 */
-	record RunPreempted(TaskId task, int run) implements FleetEvent {
+	record RunPreempted(TaskId task, int run, TaskId startingStep, boolean guaranteed, long lostMillis,
+			int earlierPreemptions) implements FleetEvent {
 
 	}
 
@@ -133,6 +141,8 @@
 	 * A job waits because no eligible workers have enough free resources for it.
 	 *
 	 * @param job the job
+	 * @param waitedMillis how long it has been waiting without interruption in this term
+	 * @param reason why it waits
 	 * @param step the index of the waiting step
 	 * @param tasks the number of waiting tasks
 	 * @param accelerators the number of accelerators that each task requires
@@ -141,9 +151,12 @@
 	 * @param eligible how many of them the step may use, by its label, its rack, its
 	 * limit for one worker and where its tasks failed or stalled
 	 * @param unreserved how many of these are not reserved for others
+	 * @param holders the jobs that occupy most of the accelerators of the eligible
+	 * workers
 	 */
-	record JobWaits(JobId job, int step, int tasks, int accelerators, String outlook, int workers, int eligible,
-			int unreserved) implements FleetEvent {
+	record JobWaits(JobId job, long waitedMillis, WaitReason reason, int step, int tasks, int accelerators,
+			String outlook, int workers, int eligible, int unreserved,
+			List<CapacityHolder> holders) implements FleetEvent {
 
 	}
 
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -90,8 +90,6 @@
 
 	private Set<TaskId> preempted = Set.of();
 
-	private Set<JobId> waitingJobs = Set.of();
-
 	/**
 	 * Creates the scheduler for a term.
 	 * @param state the replicated state, which must not change during a decision
@@ -341,26 +339,14 @@
 		this.unsentStarts.entrySet().removeIf((start) -> !this.state.isRunning(start.getKey(), start.getValue()));
 		this.beginning.removeIf((job) -> !isPending(job));
 		PlacementPass pass = new PlacementPass(this.state, this.registry, this.timings, this.forecast,
-				this.placementHistory, this.preempted, this.waitingJobs, nowNanos, nowMillis);
+				this.placementHistory, this.preempted, nowNanos, nowMillis);
 		pass.run();
 		pass.starts().forEach((start) -> this.unsentStarts.put(start.task(), start.run()));
-		recordPreemptions(withWholeGangs(pass.preempted()));
-		this.waitingJobs = pass.waitingJobs();
-		this.events.addAll(pass.waitEvents());
+		this.preempted = pass.preempted();
+		this.events.addAll(pass.events());
 		return List.copyOf(pass.starts());
 	}
 
-	private void recordPreemptions(Set<TaskId> tasks) {
-		for (TaskId task : tasks) {
-			if (!this.preempted.contains(task)) {
-				this.state.step(task)
-					.map((step) -> step.tasks().get(task.index()).run())
-					.ifPresent((run) -> this.events.add(new FleetEvent.RunPreempted(task, run)));
-			}
-		}
-		this.preempted = tasks;
-	}
-
 	/**
 	 * Returns and clears the events since the last call.
 	 * @return the events
@@ -371,18 +357,6 @@
 		return drained;
 	}
 
-	private Set<TaskId> withWholeGangs(Set<TaskId> tasks) {
-		Set<TaskId> all = new HashSet<>(tasks);
-		for (TaskId task : tasks) {
-			this.state.step(task).filter((step) -> step.spec().gang()).ifPresent((step) -> {
-				for (int index = 0; index < step.tasks().size(); index++) {
-					all.add(task.member(index));
-				}
-			});
-		}
-		return all;
-	}
-
 	/**
 	 * Responds to a heartbeat after the ends of runs in it are committed.
 	 * @param report the report that was passed to {@link #receiveReport}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/GangPlacer.java
@@ -67,7 +67,6 @@
 
 	private List<CandidateWorker> unreserved(PendingStep step) {
 		return this.candidates.stream()
-			.filter((candidate) -> !candidate.reserved() || step.queue().priority() == 0)
 			.filter((candidate) -> this.reservations.allows(candidate, step, this.nowMillis))
 			.toList();
 	}
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PlacementPass.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,11 +39,6 @@
 	 */
 	private static final long IDLE_SPREAD_AFTER_NANOS = Duration.ofSeconds(10).toNanos();
 
-	/**
-	 * Without a guarantee, preemption may discard at most this share of the step's work.
-	 */
-	private static final double MAX_LOSS_SHARE = 0.25;
-
 	private final FleetState state;
 
 	private final Reservations reservations;
@@ -61,8 +55,6 @@
 
 	private final Set<TaskId> stopping;
 
-	private final Set<JobId> waitingBefore;
-
 	private final long nowNanos;
 
 	private final long nowMillis;
@@ -75,19 +67,16 @@
 
 	private final List<FleetCommand.StartRun> starts = new ArrayList<>();
 
-	private final Set<JobId> waitingNow = new HashSet<>();
-
-	private final Map<JobId, FleetEvent.JobWaits> waiting = new LinkedHashMap<>();
+	private final List<FleetEvent.JobWaits> waitEvents = new ArrayList<>();
 
-	private final Set<TaskId> preempted = new LinkedHashSet<>();
+	private final PreemptionPass preemption;
 
 	private final Map<AccountId, Long> guaranteedUse = new HashMap<>();
 
 	PlacementPass(FleetState state, WorkerRegistry registry, FleetTimings timings, RunForecast forecast,
-			PlacementHistory history, Set<TaskId> stopping, Set<JobId> waitingBefore, long nowNanos, long nowMillis) {
+			PlacementHistory history, Set<TaskId> stopping, long nowNanos, long nowMillis) {
 		this.forecast = forecast;
 		this.history = history;
-		this.waitingBefore = waitingBefore;
 		this.reservations = new Reservations(history.reservationHolds());
 		this.eligibility = new Eligibility(history.runMover(), history.waitTimers(), nowNanos, nowMillis);
 		this.stopping = stopping;
@@ -103,22 +92,24 @@
 				this.rackSizes.merge(worker.report().rack(), 1, Integer::sum);
 			}
 		}
+		this.preemption = new PreemptionPass(state, history.preemptions(), this.candidatesByService.values(), nowNanos);
 		this.candidatesByService.forEach((service, found) -> this.useByService.put(service, ServiceUse.of(found)));
 	}
 
 	private CandidateWorker candidate(TrackedWorker worker) {
 		CandidateWorker candidate = new CandidateWorker(worker);
 		Map<TaskId, Integer> known = this.state.runsOn(worker.incarnation());
-		known.forEach((task, run) -> addRunning(candidate, task));
+		known.forEach((task, run) -> addRunning(candidate, task, false));
 		worker.report()
 			.running()
 			.stream()
 			.filter((run) -> !known.containsKey(run.task()))
-			.forEach((run) -> addRunning(candidate, run.task()));
+			.forEach((run) -> addRunning(candidate, run.task(), true));
 		return candidate;
 	}
 
-	private void addRunning(CandidateWorker candidate, TaskId task) {
+	// A run that the state does not know is stopped in any case.
+	private void addRunning(CandidateWorker candidate, TaskId task, boolean unknown) {
 		Optional<StepState> step = this.state.step(task);
 		if (step.isEmpty()) {
 			// The resources of an unknown task are not known, so nothing may start beside
@@ -129,21 +120,28 @@
 		JobState job = this.state.job(task.job()).orElseThrow();
 		int priority = this.state.queueOf(job).map((queue) -> queue.priority()).orElse(0);
 		StepSpec spec = step.get().spec();
-		boolean stops = this.stopping.contains(task) || this.history.runMover().isMoving(task);
+		boolean stops = unknown || this.stopping.contains(task) || this.history.runMover().isMoving(task);
 		double done = spec.estimatedMillis() * candidate.worker().percent(task) / 100.0;
 		long remaining = spec.lasting() ? CandidateWorker.RunningTask.NEVER_ENDS
 				: (long) Math.max(0, spec.estimatedMillis() - done);
 		int affectedTasks = spec.gang() ? spec.count() : 1;
-		// Tasks that already stop cost nothing, so that the preemption plan stays stable.
-		double lostWork = stops ? 0 : spec.checkpoints() ? 1 : 1 + done * affectedTasks * PendingStep.weight(spec);
-		candidate.addRunning(new CandidateWorker.RunningTask(task, spec.room(), priority, lostWork, remaining));
+		double lostWork = spec.checkpoints() ? 0 : done * affectedTasks * PendingStep.weight(spec);
+		double doneShare = (spec.checkpoints() || spec.lasting()) ? 0 : done / (done + remaining + 1);
+		candidate.addRunning(new CandidateWorker.RunningTask(task, spec.room(), priority, lostWork, remaining,
+				spec.gang() ? task.member(0) : task, doneShare, stops));
 	}
 
 	void run() {
 		countGuaranteedUse();
+		this.preemption.holdGuaranteed();
 		this.history.waitTimers().beginPass();
 		this.history.idleWaitTimers().beginPass();
+		this.history.waitLog().beginPass(this.nowNanos);
 		for (PendingStep step : PendingStepOrder.sorted(this.state, this::guaranteed, this.nowMillis)) {
+			if (!guaranteed(step)) {
+				this.preemption.holdOthers();
+			}
+			this.preemption.release(step);
 			this.eligibility.recordWaiting(step);
 			List<CandidateWorker> candidates = this.candidatesByService.getOrDefault(step.queue().service(), List.of());
 			if (step.spec().gang()) {
@@ -155,6 +153,7 @@
 		}
 		this.history.waitTimers().endPass();
 		this.history.idleWaitTimers().endPass();
+		this.history.waitLog().endPass();
 		this.history.reservationHolds().retain(this.waitingGangs);
 	}
 
@@ -199,6 +198,7 @@
 		}
 		if (found.isPresent()) {
 			int run = step.step().nextGangRun();
+			this.preemption.recordStart(step);
 			found.get().forEach((index, candidate) -> start(step, index, run, candidate));
 		}
 		else {
@@ -239,7 +239,10 @@
 				}
 			}
 		}
-		if (!allPlaced) {
+		if (allPlaced) {
+			this.preemption.recordStart(step);
+		}
+		else {
 			recordWaiting(step, candidates);
 			preempt(step, candidates);
 		}
@@ -250,7 +253,6 @@
 		StepSpec spec = step.spec();
 		return candidates.stream()
 			.filter((candidate) -> candidate.fits(spec))
-			.filter((candidate) -> !candidate.reserved() || step.queue().priority() == 0)
 			.filter((candidate) -> this.reservations.allows(candidate, step, this.nowMillis))
 			.filter((candidate) -> this.eligibility.mayStart(step, index, candidate))
 			.filter((candidate) -> used.getOrDefault(candidate, 0) < Eligibility.placesLeft(step, candidate))
@@ -270,19 +272,12 @@
 
 	private boolean preempt(PendingStep step, Collection<CandidateWorker> candidates) {
 		boolean isGuaranteed = guaranteed(step);
-		boolean urgent = step.queue().priority() == 0
-				&& CompletionOutlook.of(step, this.nowMillis) == CompletionOutlook.IN_TIME;
+		boolean urgent = PreemptionLimits.endsInTime(step, this.nowMillis);
 		if ((!isGuaranteed && !urgent) || waitedMillis(step) < this.timings.preemptionDelay().toMillis()) {
+			this.preemption.cancel(step);
 			return false;
 		}
-		List<CandidateWorker> eligible = this.eligibility.forStep(step, candidates);
-		Optional<PreemptionPlanner.Plan> plan = new PreemptionPlanner(eligible).plan(step)
-			.filter((found) -> isGuaranteed || found.loss() <= step.work() * MAX_LOSS_SHARE);
-		plan.ifPresent((found) -> {
-			this.preempted.addAll(found.stops());
-			found.candidates().forEach(CandidateWorker::reserve);
-		});
-		return plan.isPresent();
+		return this.preemption.preempt(step, isGuaranteed, this.eligibility.forStep(step, candidates));
 	}
 
 	List<FleetCommand.StartRun> starts() {
@@ -290,38 +285,46 @@
 	}
 
 	/**
-	 * Returns the jobs with a step that waits for room.
-	 * @return the jobs
+	 * Returns the events on waiting jobs and on preemptions.
+	 * @return the events
 	 */
-	Set<JobId> waitingJobs() {
-		return this.waitingNow;
-	}
-
-	/**
-	 * Returns the events of the jobs that did not wait in the previous pass.
-	 * @return an event for each of these jobs
-	 */
-	Collection<FleetEvent.JobWaits> waitEvents() {
-		return this.waiting.values();
+	Collection<FleetEvent> events() {
+		List<FleetEvent> events = new ArrayList<>(this.preemption.events());
+		events.addAll(this.waitEvents);
+		return events;
 	}
 
 	private void recordWaiting(PendingStep step, Collection<CandidateWorker> candidates) {
-		this.waitingNow.add(step.job().job());
-		if (this.waitingBefore.contains(step.job().job())) {
+		JobId job = step.job().job();
+		if (!this.history.waitLog().recordWaiting(job, this.nowNanos)) {
 			return;
 		}
 		List<CandidateWorker> eligible = this.eligibility.forStep(step, candidates);
 		long unreserved = eligible.stream()
 			.filter((candidate) -> this.reservations.allows(candidate, step, this.nowMillis))
 			.count();
-		this.waiting.putIfAbsent(step.job().job(),
-				new FleetEvent.JobWaits(step.job().job(), step.number(), step.waiting().size(),
-						step.spec().room().accelerators(), CompletionOutlook.of(step, this.nowMillis).name(),
-						candidates.size(), eligible.size(), (int) unreserved));
+		this.waitEvents.add(new FleetEvent.JobWaits(job, this.history.waitLog().waited(job, this.nowNanos).toMillis(),
+				waitReason(step, candidates, eligible, unreserved), step.number(), step.waiting().size(),
+				step.spec().room().accelerators(), CompletionOutlook.of(step, this.nowMillis).name(), candidates.size(),
+				eligible.size(), (int) unreserved, CapacityHolder.largest(eligible)));
+	}
+
+	private WaitReason waitReason(PendingStep step, Collection<CandidateWorker> candidates,
+			List<CandidateWorker> eligible, long unreserved) {
+		if (candidates.isEmpty()) {
+			return WaitReason.NO_WORKERS;
+		}
+		if (eligible.isEmpty()) {
+			return WaitReason.NO_ELIGIBLE_WORKERS;
+		}
+		if (this.preemption.stopsUnderWay(step)) {
+			return WaitReason.STOPS_UNDER_WAY;
+		}
+		return (unreserved == 0) ? WaitReason.RESERVED : WaitReason.OCCUPIED;
 	}
 
 	Set<TaskId> preempted() {
-		return this.preempted;
+		return this.preemption.stops();
 	}
 
 }
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
@@ -5,6 +5,7 @@
 import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
+import io.verbenatrack.fleet.policy.CapacityHolder;
 import io.verbenatrack.fleet.policy.FleetEvent;
 import io.verbenatrack.fleet.policy.IgnoreReason;
 import io.verbenatrack.fleet.state.FleetCommand;
@@ -79,18 +80,25 @@
 					termField);
 			case FleetEvent.WorkerSuspected suspected -> events.write(LogEvent.FLEET_WORKER_SUSPECTED,
 					new Field("worker", suspected.incarnation().worker()), termField);
-			case FleetEvent.RunPreempted preempted ->
-				events.write(LogEvent.FLEET_RUN_PREEMPTED, new Field("job", preempted.task().job()),
-						new Field("task", taskNumber(preempted.task())), new Field("run", preempted.run()), termField);
+			case FleetEvent.RunPreempted preempted -> events.write(LogEvent.FLEET_RUN_PREEMPTED,
+					new Field("job", preempted.task().job()), new Field("task", taskNumber(preempted.task())),
+					new Field("run", preempted.run()), new Field("forJob", preempted.startingStep().job()),
+					new Field("forStep", preempted.startingStep().step()),
+					new Field("guaranteed", preempted.guaranteed()), new Field("lostMillis", preempted.lostMillis()),
+					new Field("earlier", preempted.earlierPreemptions()), termField);
 			case FleetEvent.RunMoved moved -> events.write(LogEvent.FLEET_RUN_MOVED,
 					new Field("job", moved.task().job()), new Field("task", taskNumber(moved.task())),
 					new Field("run", moved.run()), new Field("worker", moved.incarnation().worker()),
 					new Field("percent", moved.percent()), termField);
 			case FleetEvent.JobWaits waits -> events.write(LogEvent.FLEET_JOB_WAITS, new Field("job", waits.job()),
+					new Field("waitedMillis", waits.waitedMillis()), new Field("reason", waits.reason()),
 					new Field("step", waits.step()), new Field("tasks", waits.tasks()),
 					new Field("accelerators", waits.accelerators()), new Field("outlook", waits.outlook()),
 					new Field("workers", waits.workers()), new Field("eligible", waits.eligible()),
-					new Field("unreserved", waits.unreserved()), termField);
+					new Field("unreserved", waits.unreserved()),
+					new Field("holders",
+							waits.holders().stream().map(CapacityHolder::toString).collect(Collectors.joining(", "))),
+					termField);
 		}
 	}
 
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -242,6 +242,12 @@
 				this.metrics.counter(MetricName.FLEET_RUNS_GIVEN_UP, givenUp.cause().name()).increment();
 			case FleetEvent.EndIgnored ignored ->
 				this.metrics.counter(MetricName.FLEET_ENDS_IGNORED, ignored.end().how().name()).increment();
+			case FleetEvent.RunPreempted preempted -> {
+				this.metrics.counter(MetricName.FLEET_RUNS_PREEMPTED, Boolean.toString(preempted.guaranteed()))
+					.increment();
+				this.metrics.counter(MetricName.FLEET_WORK_LOST, Boolean.toString(preempted.guaranteed()))
+					.increment(preempted.lostMillis() / 1000.0);
+			}
 			default -> {
 				// Not counted.
 			}
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -184,9 +184,9 @@
 	FLEET_RUN_ENDED(6008, System.Logger.Level.INFO, "The end of a run was recorded.",
 			"If runs of several jobs fail on the same worker, check the worker."),
 
-	/** A run is preempted so that a guaranteed job can start. */
-	FLEET_RUN_PREEMPTED(6009, System.Logger.Level.INFO, "A run is preempted so that a guaranteed job can start.",
-			"Nothing to do."),
+	/** A run is preempted so that an urgent step can start. */
+	FLEET_RUN_PREEMPTED(6009, System.Logger.Level.INFO, "A run is preempted so that an urgent step can start.",
+			"Nothing to do; see docs/operations/preemption.md if the same job is preempted repeatedly."),
 
 	/** An incarnation of a worker reported for the first time in this term. */
 	FLEET_WORKER_JOINED(6010, System.Logger.Level.INFO,
@@ -239,7 +239,7 @@
 
 	/** A job waits for capacity. */
 	FLEET_JOB_WAITS(6022, System.Logger.Level.INFO, "A job waits because no workers have capacity for it.",
-			"Nothing to do; add workers if many jobs wait."),
+			"Nothing to do; see docs/operations/preemption.md for the reason and the holders."),
 
 	/** Several consecutive jobs failed on a worker. */
 	FLEET_WORKER_SUSPECTED(6023, System.Logger.Level.WARNING,
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
@@ -149,7 +149,16 @@
 
 	/** Reported ends of runs that are not the current ones, by outcome. */
 	FLEET_ENDS_IGNORED(Type.COUNTER, "verbenatrack.fleet.ends.ignored", "",
-			"Reported ends of runs that are not the current ones of their tasks, by outcome.", "outcome");
+			"Reported ends of runs that are not the current ones of their tasks, by outcome.", "outcome"),
+
+	/** Runs that were preempted. */
+	FLEET_RUNS_PREEMPTED(Type.COUNTER, "verbenatrack.fleet.runs.preempted", "",
+			"Runs that were preempted, by whether the step that starts is within a guarantee.", "guaranteed"),
+
+	/** Work discarded by preemption; a core counts as an eighth of an accelerator. */
+	FLEET_WORK_LOST(Type.COUNTER, "verbenatrack.fleet.work.lost", "seconds",
+			"Accelerator seconds discarded by preemption, by whether the step that starts is within a guarantee.",
+			"guaranteed");
 
 	private final Type type;
 
