--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -259,6 +259,12 @@
 			case FleetEvent.EndIgnored ignored ->
 				this.metrics.counter(MetricName.FLEET_ENDS_IGNORED, ignored.end().how().name()).increment();
 			case FleetEvent.ForecastChanged changed -> count(changed.change());
+			case FleetEvent.RunPreempted preempted -> {
+				this.metrics.counter(MetricName.FLEET_RUNS_PREEMPTED, Boolean.toString(preempted.guaranteed()))
+					.increment();
+				this.metrics.counter(MetricName.FLEET_WORK_LOST, Boolean.toString(preempted.guaranteed()))
+					.increment(preempted.lostMillis() / 1000.0);
+			}
 			default -> {
 				// Not counted.
 			}
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/MetricName.java
@@ -162,7 +162,16 @@
 
 	/** Implausible values in reports that were not used for forecasts. */
 	FLEET_FORECAST_VALUES_IGNORED(Type.COUNTER, "verbenatrack.fleet.forecast.values.ignored", "",
-			"Implausible progress or run times in reports that were not used for forecasts.");
+			"Implausible progress or run times in reports that were not used for forecasts."),
+
+	/** Runs that were preempted. */
+	FLEET_RUNS_PREEMPTED(Type.COUNTER, "verbenatrack.fleet.runs.preempted", "",
+			"Runs that were preempted, by whether the step that starts is within a guarantee.", "guaranteed"),
+
+	/** Work discarded by preemption; a core counts as an eighth of an accelerator. */
+	FLEET_WORK_LOST(Type.COUNTER, "verbenatrack.fleet.work.lost", "seconds",
+			"Accelerator seconds discarded by preemption, by whether the step that starts is within a guarantee.",
+			"guaranteed");
 
 	private final Type type;
 
