--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/LearnedRunTimesTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/ForecastDecisionsTests.java
@@ -24,7 +24,7 @@
  * Tests for decisions under estimates that are off by a factor which the forecast knows.
  * The estimated run time is 5 s where a test does not say otherwise.
  */
-public class LearnedRunTimesTests extends SchedulerFixture {
+public class ForecastDecisionsTests extends SchedulerFixture {
 
 	private final FixedForecast fixed = new FixedForecast();
 
