--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/LossBudget.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/LossBudget.java
@@ -36,12 +36,13 @@
 	}
 
 	/**
-	 * Returns whether work may be discarded now.
-	 * @param lostMillis the work in milliseconds weighted by resources
-	 * @return whether the budget covers it
+	 * Returns whether work may be discarded now. A single loss may exceed the budget, as
+	 * that of a small fleet is smaller than the work of one gang; the next one then waits
+	 * until the budget has recovered.
+	 * @return whether budget is left
 	 */
-	boolean allows(double lostMillis) {
-		return lostMillis <= this.availableMillis;
+	boolean left() {
+		return this.availableMillis > 0;
 	}
 
 	/**
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/PreemptionLimits.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/PreemptionLimits.java
@@ -103,7 +103,7 @@
 	 */
 	boolean allowsPlan(PreemptionPlanner.Plan plan, PendingStep step, boolean guaranteed) {
 		return guaranteed || (plan.lostWorkMillis() <= step.work() * MAX_LOSS_SHARE
-				&& this.ledger.lossBudget().allows(plan.lostWorkMillis()));
+				&& (plan.lostWorkMillis() == 0 || this.ledger.lossBudget().left()));
 	}
 
 }
