--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -22,9 +22,7 @@
 import io.verbenatrack.control.ReplicatedLog;
 import io.verbenatrack.fleet.call.FleetCall;
 import io.verbenatrack.fleet.call.FleetReply;
-import io.verbenatrack.fleet.forecast.ForecastEvent;
 import io.verbenatrack.fleet.policy.EvacuationSettings;
-import io.verbenatrack.fleet.policy.FleetEvent;
 import io.verbenatrack.fleet.policy.FleetScheduler;
 import io.verbenatrack.fleet.policy.FleetTimings;
 import io.verbenatrack.fleet.policy.JobAdmission;
@@ -110,6 +108,8 @@
 
 	private final EvacuationGauge evacuationGauge;
 
+	private final EventMetrics eventMetrics;
+
 	private final Map<Class<?>, Counter> decisionCounters = new HashMap<>();
 
 	private final Thread thread;
@@ -147,6 +147,7 @@
 		this.metrics = metrics;
 		this.turnTimer = metrics.histogram(MetricName.FLEET_TURN_TIME);
 		this.evacuationGauge = new EvacuationGauge(metrics);
+		this.eventMetrics = new EventMetrics(metrics);
 		this.thread = Thread.ofPlatform().name("fleet").daemon().unstarted(this::run);
 	}
 
@@ -242,7 +243,7 @@
 		boolean turnCommitted = committed(callsOutcome) && committed(placeTasks(leaderTerm));
 		leaderTerm.scheduler.drainEvents().forEach((event) -> {
 			DecisionLogger.write(this.events, leaderTerm.term, event);
-			count(event);
+			this.eventMetrics.count(event);
 		});
 		answer(batch, decisions, callsOutcome, turnCommitted);
 		if (!turnCommitted) {
@@ -250,39 +251,6 @@
 		}
 	}
 
-	private void count(FleetEvent event) {
-		switch (event) {
-			case FleetEvent.ReportIgnored ignored ->
-				this.metrics.counter(MetricName.FLEET_REPORTS_IGNORED, ignored.reason().name()).increment();
-			case FleetEvent.RunGivenUp givenUp ->
-				this.metrics.counter(MetricName.FLEET_RUNS_GIVEN_UP, givenUp.cause().name()).increment();
-			case FleetEvent.EndIgnored ignored ->
-				this.metrics.counter(MetricName.FLEET_ENDS_IGNORED, ignored.end().how().name()).increment();
-			case FleetEvent.ForecastChanged changed -> count(changed.change());
-			case FleetEvent.RunPreempted preempted -> {
-				this.metrics.counter(MetricName.FLEET_RUNS_PREEMPTED, Boolean.toString(preempted.guaranteed()))
-					.increment();
-				this.metrics.counter(MetricName.FLEET_WORK_LOST, Boolean.toString(preempted.guaranteed()))
-					.increment(preempted.lostMillis() / 1000.0);
-			}
-			default -> {
-				// Not counted.
-			}
-		}
-	}
-
-	private void count(ForecastEvent change) {
-		switch (change) {
-			case ForecastEvent.RunTimesSwitched switched ->
-				this.metrics.counter(MetricName.FLEET_FORECAST_CHANGES, switched.learned() ? "learned" : "declared")
-					.increment();
-			case ForecastEvent.SpeedChanged speed ->
-				this.metrics.counter(MetricName.FLEET_FORECAST_CHANGES, "speed").increment();
-			case ForecastEvent.ValuesIgnored ignored ->
-				this.metrics.counter(MetricName.FLEET_FORECAST_VALUES_IGNORED).increment(ignored.values());
-		}
-	}
-
 	private LeaderTerm beginTerm() {
 		long term = this.log.term();
 		if (this.currentTerm.isEmpty() || this.currentTerm.get().term != term) {
