Let the tests of evacuation calls move a clock rather than sleep

Cause: a test slept 400 ms and gave orders 200 ms, so that a busy machine could refuse them. The assertions are the same.

--- a/fleetd/src/test/java/io/verbenatrack/fleetd/EvacuationCallTests.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/EvacuationCallTests.java
@@ -18,6 +18,7 @@
 import io.verbenatrack.model.ZoneId;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 /**
  * Tests for the calls that evacuate availability zones: their replies, their log lines
@@ -31,24 +32,20 @@
 
 	private static final FleetCall WITHDRAW = new FleetCall.WithdrawEvacuation(EAST);
 
-	private static final long MAX_WAIT_MILLIS = 200;
+	private static final Duration MAX_WAIT = Duration.ofSeconds(5);
 
 	@BeforeMethod
 	void useSettings() {
-		this.loop.useEvacuationSettings(
-				new EvacuationSettings(Set.of(EAST, new ZoneId("west")), Duration.ofMillis(MAX_WAIT_MILLIS)));
+		this.loop.useEvacuationSettings(new EvacuationSettings(Set.of(EAST, new ZoneId("west")), MAX_WAIT));
 	}
 
 	private boolean evacuated() {
 		return this.stateMachine.read((state) -> state.evacuations().evacuated(EAST));
 	}
 
-	private void assertGauge(String zone, int value) throws InterruptedException {
+	private void assertGauge(String zone, int value) {
 		String line = "verbenatrack_fleet_zones_evacuated{zone=\"" + zone + "\"} " + value;
-		for (int attempt = 0; attempt < 500 && !this.metrics.scrape().contains(line); attempt++) {
-			Thread.sleep(10);
-		}
-		assertThat(this.metrics.scrape()).contains(line);
+		await().atMost(Duration.ofSeconds(5)).untilAsserted(() -> assertThat(this.metrics.scrape()).contains(line));
 	}
 
 	@Test
@@ -84,7 +81,7 @@
 		assertThat(evacuated()).isFalse();
 		gate = holdLoop(WITHDRAW);
 		CompletableFuture<FleetReply> late = call(EVACUATE);
-		Thread.sleep(2 * MAX_WAIT_MILLIS);
+		this.clockOffsetNanos.addAndGet(MAX_WAIT.plusSeconds(1).toNanos());
 		gate.complete(null);
 		assertThat(reply(late)).isInstanceOfSatisfying(FleetReply.Refused.class,
 				(refused) -> assertThat(refused.problem().kind()).isEqualTo(ProblemKind.UNAVAILABLE));
--- a/fleetd/src/test/java/io/verbenatrack/fleetd/ScriptedLoopFixture.java
+++ b/fleetd/src/test/java/io/verbenatrack/fleetd/ScriptedLoopFixture.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -31,6 +32,9 @@
 
 	final AtomicInteger terms = new AtomicInteger();
 
+	/** Added to the time of the machine. */
+	final AtomicLong clockOffsetNanos = new AtomicLong();
+
 	final List<String> logged = new CopyOnWriteArrayList<>();
 
 	FleetStateMachine stateMachine;
@@ -44,6 +48,7 @@
 	@BeforeMethod
 	void startLoop() {
 		this.terms.set(0);
+		this.clockOffsetNanos.set(0);
 		this.logged.clear();
 		this.stateMachine = new FleetStateMachine(this.codec);
 		this.log = new ScriptedLog(this.stateMachine, this.codec);
@@ -57,8 +62,9 @@
 		this.loop = new FleetLoop(this.log, this.stateMachine, this.codec,
 				new FleetTimings(Duration.ofSeconds(6), Duration.ofMillis(250), Duration.ofSeconds(60),
 						Duration.ofMillis(200), Duration.ofMillis(500), Duration.ofMinutes(4)),
-				new JobAdmission(Long.MAX_VALUE), LeaseClock.exact(MonotonicClock.system()), InstantSource.system(),
-				events, this.metrics);
+				new JobAdmission(Long.MAX_VALUE),
+				LeaseClock.exact(() -> MonotonicClock.system().nanoTime() + this.clockOffsetNanos.get()),
+				InstantSource.system(), events, this.metrics);
 		this.loop.start();
 	}
 
