--- a/bench/src/main/java/io/verbenatrack/bench/fleet/ArrivalGenerator.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/ArrivalGenerator.java
@@ -18,8 +18,10 @@
 
 	private static final int MILLIS_PER_SECOND = 1000;
 
-	/** Largest gang that can be rack-sensitive, in accelerators: half a rack. */
-	private static final int MAXIMUM_RACK_SENSITIVE_ACCELERATORS = 32;
+	/**
+	 * Largest gang that can be rack-sensitive, as a share of the accelerators of a rack.
+	 */
+	private static final double MAXIMUM_RACK_SHARE = 0.5;
 
 	private static final double WIDTH_SIGMA = 0.7;
 
@@ -78,15 +80,19 @@
 		int maximum = this.load.size().maximumTasks(accelerators, jobClass.maximumTasks());
 		int count = (int) Math.clamp(Math.round(lognormal(jobClass.width(), WIDTH_SIGMA)), 1, maximum);
 		boolean checkpoints = this.random.nextDouble() < jobClass.checkpointShare();
-		boolean fitsInRack = count * accelerators <= MAXIMUM_RACK_SENSITIVE_ACCELERATORS;
+		FleetConditions conditions = this.load.conditions();
+		int rackAccelerators = conditions.workersPerRack() * conditions.capacity().accelerators();
+		boolean fitsInRack = count * accelerators <= MAXIMUM_RACK_SHARE * rackAccelerators;
 		boolean rack = this.random.nextDouble() < jobClass.rackShare() && fitsInRack;
 		double work = lognormal(jobClass.workMillis(), jobClass.workSpread());
 		long[] taskMillis = new long[count];
 		for (int index = 0; index < count; index++) {
 			taskMillis[index] = (long) (jobClass.gang() ? work : work * lognormal(1, 0.2));
 		}
-		StepSpec step = new StepSpec(count, jobClass.resources(accelerators), (long) (work * lognormal(1, 0.2)),
-				List.of(), jobClass.gang(), rack, Optional.empty(), Optional.empty(), 0, false, false, checkpoints);
+		delayStragglers(taskMillis, jobClass.gang());
+		long estimatedMillis = (long) (work * lognormal(1, conditions.estimateSpread(jobClass)));
+		StepSpec step = new StepSpec(count, jobClass.resources(accelerators), estimatedMillis, List.of(),
+				jobClass.gang(), rack, Optional.empty(), Optional.empty(), 0, false, false, checkpoints);
 		double size = count * work / (jobClass.width() * jobClass.workMillis());
 		double credit = jobClass.credit()
 				* Math.min(MAXIMUM_CREDIT_FACTOR, MINIMUM_CREDIT_FACTOR + (1 - MINIMUM_CREDIT_FACTOR) * size);
@@ -95,6 +101,18 @@
 				new JobPlan("payload", List.of(step), 0, 0, 1), atMillis, taskMillis, credit);
 	}
 
+	private void delayStragglers(long[] taskMillis, boolean gang) {
+		FleetConditions.Stragglers stragglers = this.load.conditions().stragglers();
+		if (stragglers.share() == 0) {
+			return;
+		}
+		boolean gangStraggles = this.random.nextDouble() < stragglers.share();
+		for (int index = 0; index < taskMillis.length; index++) {
+			boolean straggles = gang ? gangStraggles : this.random.nextDouble() < stragglers.share();
+			taskMillis[index] = (long) (taskMillis[index] * (straggles ? stragglers.factor() : 1));
+		}
+	}
+
 	private double lognormal(double mean, double spread) {
 		double gaussian = Math.sqrt(-2 * Math.log(1 - this.random.nextDouble()))
 				* Math.cos(2 * Math.PI * this.random.nextDouble());
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/FleetBench.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetBench.java
@@ -17,7 +17,7 @@
 	 * @param loads the load patterns
 	 * @param seed the first seed
 	 * @param seeds the number of consecutive seeds
-	 * @param out receives one line for each load pattern
+	 * @param out receives two lines for each load pattern
 	 * @return whether all runs ended without violations
 	 */
 	public static boolean run(List<FleetLoad> loads, long seed, int seeds, PrintStream out) {
@@ -27,8 +27,10 @@
 			double earned = 0;
 			double served = 0;
 			double net = 0;
+			FleetFigures figures = new FleetFigures();
 			for (long runSeed = seed; runSeed < seed + seeds; runSeed++) {
 				FleetResult result = FleetSimulation.run(load, runSeed);
+				figures.add(result);
 				earned += result.earnedShare() / seeds;
 				served += result.servedShare() / seeds;
 				net += result.netShare() / seeds;
@@ -40,18 +42,24 @@
 			}
 			total += net;
 			out.printf(Locale.ROOT, "%-16s earned %.3f net %.3f served %.3f%n", load.name(), earned, net, served);
+			out.println("  " + figures);
 		}
 		out.printf(Locale.ROOT, "mean net %.3f%n", total / loads.size());
 		return valid;
 	}
 
 	/**
-	 * Runs all load patterns or a single one.
-	 * @param args the name of a load pattern or "all", the first seed, and the number of
-	 * seeds
+	 * Runs several load patterns or a single one.
+	 * @param args the name of a load pattern, "all" for those of {@link FleetLoad#all} or
+	 * "competing" for those of {@link FleetLoad#competing}; the first seed; and the
+	 * number of seeds
 	 */
 	public static void main(String[] args) {
-		List<FleetLoad> loads = args[0].equals("all") ? FleetLoad.all() : List.of(FleetLoad.of(args[0]));
+		List<FleetLoad> loads = switch (args[0]) {
+			case "all" -> FleetLoad.all();
+			case "competing" -> FleetLoad.competing();
+			default -> List.of(FleetLoad.of(args[0]));
+		};
 		System.exit(run(loads, Long.parseLong(args[1]), Integer.parseInt(args[2]), System.out) ? 0 : 1);
 	}
 
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/FleetLoad.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetLoad.java
@@ -1,6 +1,7 @@
 package io.verbenatrack.bench.fleet;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * Load pattern: job classes, bursts and worker faults.
@@ -12,9 +13,10 @@
  * @param bursts the periods with a higher arrival rate of one class
  * @param workerFaults the worker faults
  * @param size the size of the fleet
+ * @param conditions the properties of the workers and of the estimates
  */
 public record FleetLoad(String name, int seconds, double factor, List<JobClass> classes, List<Burst> bursts,
-		List<WorkerFault> workerFaults, Size size) {
+		List<WorkerFault> workerFaults, Size size, FleetConditions conditions) {
 
 	private static final int[] GANG_ACCELERATORS = { 1, 2, 4, 8, 8 };
 
@@ -48,6 +50,11 @@
 
 	private static final Size LARGE = new Size(245, 10, 120, 14, 12, 30);
 
+	FleetLoad(String name, int seconds, double factor, List<JobClass> classes, List<Burst> bursts,
+			List<WorkerFault> workerFaults, Size size) {
+		this(name, seconds, factor, classes, bursts, workerFaults, size, FleetConditions.USUAL);
+	}
+
 	/**
 	 * Returns the load pattern with a name.
 	 * @param name the name
@@ -55,15 +62,25 @@
 	 * @throws IllegalArgumentException if there is none; the message lists the names
 	 */
 	public static FleetLoad of(String name) {
-		return all().stream()
+		List<FleetLoad> known = Stream.concat(all().stream(), competing().stream()).toList();
+		return known.stream()
 			.filter((load) -> load.name().equals(name))
 			.findFirst()
 			.orElseThrow(() -> new IllegalArgumentException("There is no load '" + name + "'. Use one of "
-					+ all().stream().map(FleetLoad::name).toList() + "."));
+					+ known.stream().map(FleetLoad::name).toList() + "."));
+	}
+
+	/**
+	 * Returns the load patterns of large fleets with uneven workers, wrong estimates, or
+	 * a restart of all machines.
+	 * @return the patterns
+	 */
+	public static List<FleetLoad> competing() {
+		return CompetingLoads.all();
 	}
 
 	/**
-	 * Returns all load patterns.
+	 * Returns the load patterns with estimates that are roughly right.
 	 * @return the patterns
 	 */
 	public static List<FleetLoad> all() {
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/FleetResult.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetResult.java
@@ -24,8 +24,12 @@
 
 	private final Map<String, ClassResult> classes = new TreeMap<>();
 
+	private final ShareStatistics shares = new ShareStatistics();
+
 	private final List<String> violations;
 
+	private final RunStatistics runs;
+
 	private final double lostCoreSeconds;
 
 	private double earned;
@@ -36,7 +40,9 @@
 
 	private int served;
 
-	FleetResult(List<ArrivingJob> jobs, Map<JobId, Long> completed, double lostCoreSeconds, List<String> violations) {
+	FleetResult(List<ArrivingJob> jobs, Map<JobId, Long> completed, double lostCoreSeconds, List<String> violations,
+			RunStatistics runs) {
+		this.runs = runs;
 		this.lostCoreSeconds = lostCoreSeconds;
 		this.violations = List.copyOf(violations);
 		Map<JobId, Long> ends = new HashMap<>(completed);
@@ -51,6 +57,7 @@
 		double lateCredit = job.credit() * job.jobClass().lateCredit() / job.jobClass().credit();
 		double credit = inTime ? job.credit() : late ? lateCredit : 0;
 		this.jobs++;
+		this.shares.add(job, credit);
 		this.served += (inTime || late) ? 1 : 0;
 		this.available += job.credit();
 		this.earned += credit;
@@ -100,6 +107,18 @@
 		return this.violations;
 	}
 
+	double lostCoreSeconds() {
+		return this.lostCoreSeconds;
+	}
+
+	RunStatistics runs() {
+		return this.runs;
+	}
+
+	ShareStatistics shares() {
+		return this.shares;
+	}
+
 	@Override
 	public String toString() {
 		StringBuilder text = new StringBuilder(
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/FleetSimulation.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/FleetSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import io.verbenatrack.bench.fleet.GangMembers.GangRun;
 import io.verbenatrack.fleet.model.CallLimits;
 import io.verbenatrack.fleet.model.FleetAccount;
 import io.verbenatrack.fleet.model.FleetConfiguration;
@@ -38,13 +39,6 @@
 	/** Step of the virtual clock. */
 	private static final long TICK_MILLIS = 25;
 
-	/** Number of availability zones, each with a third of the workers. */
-	private static final int ZONES = 3;
-
-	private static final int WORKERS_PER_RACK = 8;
-
-	private static final double[] ZONE_SLOWDOWNS = { 1, 1, 1.3 };
-
 	private static final int MAXIMUM_ATTEMPTS = 3;
 
 	private static final long GANG_WAIT_MILLIS = 3000;
@@ -54,6 +48,9 @@
 	/** The same timings that the daemon uses. */
 	private static final FleetTimings TIMINGS = FleetTimings.withLease(Duration.ofSeconds(6));
 
+	/** Time until the workers report again after all machines lost power. */
+	private static final long POWER_LOSS_MILLIS = 2000;
+
 	/** Slowdown of a rack-sensitive gang that is spread over several racks. */
 	private static final double RACK_SPREAD_SLOWDOWN = 3;
 
@@ -61,8 +58,6 @@
 
 	private final FleetState state = new FleetState();
 
-	private final FleetScheduler scheduler = new FleetScheduler(this.state, TIMINGS, 1, time(0));
-
 	private final List<SimulatedWorker> workers = new ArrayList<>();
 
 	private final Map<JobId, ArrivingJob> acceptedJobs = new HashMap<>();
@@ -75,16 +70,25 @@
 
 	private final List<String> violations = new ArrayList<>();
 
+	private final GangMembers members = new GangMembers();
+
+	private final RunStatistics statistics = new RunStatistics();
+
+	private FleetScheduler scheduler = new FleetScheduler(this.state, TIMINGS, 1, time(0));
+
+	private long term = 1;
+
 	private long sequence;
 
 	private FleetSimulation(FleetLoad load, long seed) {
 		this.load = load;
 		this.random = new SplittableRandom(seed * 31 + 7);
-		int workersPerZone = (load.size().workers() + ZONES - 1) / ZONES;
+		FleetConditions conditions = load.conditions();
+		int workersPerZone = (load.size().workers() + conditions.zones() - 1) / conditions.zones();
 		for (int number = 0; number < load.size().workers(); number++) {
 			int zone = number / workersPerZone;
-			this.workers.add(new SimulatedWorker(number,
-					"rack-" + zone + "-" + number % workersPerZone / WORKERS_PER_RACK, ZONE_SLOWDOWNS[zone]));
+			String rack = "rack-" + zone + "-" + number % workersPerZone / conditions.workersPerRack();
+			this.workers.add(new SimulatedWorker(number, zone, rack, conditions, this.statistics, this.members));
 		}
 	}
 
@@ -104,6 +108,9 @@
 		long end = (this.load.seconds() + this.load.size().drainSeconds()) * 1000L;
 		for (long now = 0; now < end; now += TICK_MILLIS) {
 			applyWorkerFaults(now);
+			if (this.load.conditions().restartSecond().orElse(-1) * 1000 == now) {
+				restartAll(now);
+			}
 			while (next < jobs.size() && jobs.get(next).atMillis() <= now) {
 				accept(jobs.get(next++), now);
 			}
@@ -111,7 +118,14 @@
 			runTurn(now);
 		}
 		return new FleetResult(jobs, this.completed,
-				this.workers.stream().mapToDouble(SimulatedWorker::lostCoreSeconds).sum(), this.violations);
+				this.workers.stream().mapToDouble(SimulatedWorker::lostCoreSeconds).sum(), this.violations,
+				this.statistics);
+	}
+
+	private void restartAll(long now) {
+		this.workers.forEach((worker) -> worker.restart(now, POWER_LOSS_MILLIS));
+		this.scheduler = new FleetScheduler(this.state, TIMINGS, ++this.term, time(now));
+		this.sequence = 0;
 	}
 
 	private FleetConfiguration configuration() {
@@ -134,8 +148,8 @@
 	}
 
 	private void commit(List<FleetCommand> commands) {
-		if (!commands.isEmpty() && !this.state.apply(new FleetBatch(1, ++this.sequence, commands))) {
-			throw new IllegalStateException("The fleet state rejected a batch of the only leader.");
+		if (!commands.isEmpty() && !this.state.apply(new FleetBatch(this.term, ++this.sequence, commands))) {
+			throw new IllegalStateException("The fleet state rejected a batch of the current leader.");
 		}
 	}
 
@@ -152,7 +166,7 @@
 		ends.addAll(this.scheduler.detectLostRuns(time(now)));
 		commit(ends);
 		commit(this.scheduler.placeTasks(time(now), now));
-		this.scheduler.drainEvents();
+		this.statistics.addEvents(this.scheduler.drainEvents());
 		for (int index = 0; index < reporting.size(); index++) {
 			HeartbeatResponse orders = this.scheduler.respond(reports.get(index));
 			reporting.get(index).receive(orders, now, this::createRun);
@@ -222,18 +236,9 @@
 
 	private boolean allMembersPresent(SimulatedRun run, GangRun gang, long now, Set<GangRun> broken) {
 		int size = this.acceptedJobs.get(run.task.job()).workMillis().length;
-		List<SimulatedWorker> present = this.workers.stream()
-			.filter((worker) -> worker.runs()
-				.values()
-				.stream()
-				.anyMatch((other) -> other.task.job().equals(gang.job()) && other.run == gang.run()))
-			.toList();
-		long members = present.stream()
-			.flatMap((worker) -> worker.runs().values().stream())
-			.filter((other) -> other.task.job().equals(gang.job()) && other.run == gang.run())
-			.count();
-		if (members == size) {
-			boolean spread = present.stream().map(SimulatedWorker::rack).distinct().count() > 1;
+		int present = this.members.count(gang);
+		if (present == size) {
+			boolean spread = this.members.spreadOverRacks(gang);
 			boolean sensitive = this.state.step(run.task).orElseThrow().spec().rackSensitive();
 			run.rackSlowdown = (spread && sensitive) ? RACK_SPREAD_SLOWDOWN : 1;
 			this.gangs.put(gang, Long.MAX_VALUE / 2);
@@ -245,7 +250,7 @@
 		}
 		else if (now - startedMillis > GANG_WAIT_MILLIS) {
 			if (this.workers.stream().noneMatch((worker) -> worker.unresponsive)) {
-				this.violations.add("gang " + gang + " did not form within " + GANG_WAIT_MILLIS + " ms: " + members
+				this.violations.add("gang " + gang + " did not form within " + GANG_WAIT_MILLIS + " ms: " + present
 						+ " of " + size + " members");
 			}
 			broken.add(gang);
@@ -297,8 +302,4 @@
 		worker.unresponsive = false;
 	}
 
-	private record GangRun(JobId job, int run) {
-
-	}
-
 }
--- a/bench/src/main/java/io/verbenatrack/bench/fleet/SimulatedWorker.java
+++ b/bench/src/main/java/io/verbenatrack/bench/fleet/SimulatedWorker.java
@@ -25,20 +25,26 @@
  */
 final class SimulatedWorker {
 
-	private static final Resources CAPACITY = new Resources(64_000, 262_144, 8);
-
 	private static final long MINIMUM_STAY_MILLIS = 2000;
 
-	private final WorkerIncarnation incarnation;
-
 	private final String rack;
 
+	private final ZoneId zone;
+
+	private final Resources capacity;
+
+	private final RunStatistics statistics;
+
+	private final GangMembers members;
+
 	private final double baseSlowdown;
 
 	private final Map<TaskId, SimulatedRun> runs = new LinkedHashMap<>();
 
 	private final List<ReportedEnd> ends = new ArrayList<>();
 
+	private WorkerIncarnation incarnation;
+
 	private double lostCoreSeconds;
 
 	private long sequence;
@@ -58,10 +64,15 @@
 
 	boolean draining;
 
-	SimulatedWorker(int number, String rack, double baseSlowdown) {
-		this.baseSlowdown = baseSlowdown;
+	SimulatedWorker(int number, int zone, String rack, FleetConditions conditions, RunStatistics statistics,
+			GangMembers members) {
+		this.members = members;
+		this.baseSlowdown = conditions.speeds().slowdown(number, zone);
 		this.incarnation = new WorkerIncarnation(new WorkerId("worker-" + number), 1);
 		this.rack = rack;
+		this.zone = new ZoneId("zone-" + zone);
+		this.capacity = conditions.capacity();
+		this.statistics = statistics;
 	}
 
 	double speed() {
@@ -90,7 +101,7 @@
 			.map((run) -> new ReportedRun(run.task, run.run, run.checkpoint(), run.percent()))
 			.toList();
 		return new WorkerReport(this.incarnation, "host-" + this.incarnation.worker() + ":1", new ServiceId("service"),
-				new ZoneId("zone"), this.rack, Set.of("a", this.rack), CAPACITY, this.draining, MINIMUM_STAY_MILLIS,
+				this.zone, this.rack, Set.of("a", this.rack), this.capacity, this.draining, MINIMUM_STAY_MILLIS,
 				++this.sequence, running, this.ends);
 	}
 
@@ -119,15 +130,38 @@
 			.stream()
 			.map((other) -> other.resources)
 			.reduce(Resources.NONE, Resources::plus);
-		if (!run.resources.fitsIn(CAPACITY.minus(used))) {
+		if (!run.resources.fitsIn(this.capacity.minus(used))) {
 			this.ends.add(new ReportedEnd(++this.endNumber, run.task, run.run, RunOutcome.REFUSED, ""));
 			return;
 		}
 		this.runs.put(run.task, run);
+		this.members.add(run, this);
+		this.statistics.addStart();
+	}
+
+	/**
+	 * Restarts the worker after a loss of power: its runs and its reports are lost.
+	 * @param nowMillis the time of the loss in milliseconds
+	 * @param downMillis how long the worker is down, in milliseconds
+	 */
+	void restart(long nowMillis, long downMillis) {
+		this.runs.values().forEach((run) -> {
+			this.members.remove(run, this);
+			this.lostCoreSeconds += run.unsavedCoreSeconds();
+			this.statistics.addEnd(RunOutcome.LOST);
+		});
+		this.runs.clear();
+		this.ends.clear();
+		this.incarnation = new WorkerIncarnation(this.incarnation.worker(), this.incarnation.bornMillis() + nowMillis);
+		this.sequence = 0;
+		this.endNumber = 0;
+		this.nextReportMillis = nowMillis + downMillis;
 	}
 
 	void end(SimulatedRun run, RunOutcome outcome) {
 		this.runs.remove(run.task);
+		this.members.remove(run, this);
+		this.statistics.addEnd(outcome);
 		this.lostCoreSeconds += (outcome != RunOutcome.DONE) ? run.unsavedCoreSeconds() : 0;
 		String checkpoint = (outcome != RunOutcome.DONE) ? run.checkpoint() : "";
 		this.ends.add(new ReportedEnd(++this.endNumber, run.task, run.run, outcome, checkpoint));
