--- a/review/harness-3/Executors.java
+++ b/review/harness-3/Executors.java
@@ -13,8 +13,10 @@
 /**
  * Sound executors as the users' pages describe them. A task learns what it is from its
  * spec, a list of NAME=NUMBER: {@code ms} (its work), {@code gang} (the number of tasks
- * of the gang, 0 for none), {@code last} (1 if it runs until it is stopped) and
- * {@code fail} (the work after which a lasting task fails by its own fault, 0 for never).
+ * of the gang, 0 for none), {@code last} (1 if it runs until it is stopped), {@code fail}
+ * (the work after which a lasting task fails by its own fault, 0 for never) and
+ * {@code done} (the work after which a lasting gang ends as done for the first time, 0
+ * for never).
  */
 final class Executors implements AutoCloseable {
 
@@ -81,6 +83,25 @@
 			.count();
 	}
 
+	/** Cuts the links between an executor and all others; what runs on it runs on. */
+	synchronized void cutOff(String id) {
+		this.record.line(id + " is cut off");
+		byId(id).cutOff = true;
+	}
+
+	/** Ends an executor for good, with all that it runs and knows. */
+	synchronized void crash(String id) {
+		this.record.line(id + " crashes for good");
+		Executor executor = byId(id);
+		executor.crashed = true;
+		executor.running.clear();
+		executor.ends.clear();
+	}
+
+	private Executor byId(String id) {
+		return this.executors.stream().filter((executor) -> executor.id.equals(id)).findFirst().orElseThrow();
+	}
+
 	synchronized boolean allKnown() {
 		return this.executors.stream().allMatch((executor) -> executor.acknowledged);
 	}
@@ -137,18 +158,16 @@
 		}
 		long worked = now - run.workingSince;
 		if (run.lasting) {
-			if (this.failing && run.fail > 0 && worked > run.fail && (run.gang == 0 || run.task.endsWith(".0"))) {
+			if (run.done > 0 && run.run == 1 && worked > run.done) {
+				endGang(run);
+			}
+			else if (this.failing && run.fail > 0 && worked > run.fail && (run.gang == 0 || run.task.endsWith(".0"))) {
 				executor.end(run, "failed");
 			}
 		}
 		else if (worked > run.millis) {
 			if (run.gang > 0) {
-				for (Executor other : this.executors) {
-					Run member = other.memberOf(run);
-					if (member != null) {
-						other.end(member, "done");
-					}
-				}
+				endGang(run);
 			}
 			else {
 				executor.end(run, "done");
@@ -156,6 +175,15 @@
 		}
 	}
 
+	private void endGang(Run run) {
+		for (Executor other : this.executors) {
+			Run member;
+			while ((member = other.memberOf(run)) != null) {
+				other.end(member, "done");
+			}
+		}
+	}
+
 	private List<Run> members(Run run) {
 		List<Run> members = new ArrayList<>();
 		for (Executor executor : this.executors) {
@@ -203,6 +231,8 @@
 
 		private final long fail;
 
+		private final long done;
+
 		private long workingSince;
 
 		private long stopAt;
@@ -221,6 +251,7 @@
 			this.gang = values.getOrDefault("gang", 0L).intValue();
 			this.lasting = values.getOrDefault("last", 0L) > 0;
 			this.fail = values.getOrDefault("fail", 0L);
+			this.done = values.getOrDefault("done", 0L);
 			this.workingSince = (this.gang > 0) ? 0 : now;
 		}
 
@@ -266,6 +297,10 @@
 
 		private boolean acknowledged;
 
+		private boolean cutOff;
+
+		private boolean crashed;
+
 		private String home = "";
 
 		private int next;
@@ -315,15 +350,27 @@
 			String body;
 			long sent;
 			synchronized (Executors.this) {
+				if (this.cutOff || this.crashed) {
+					body = "";
+				}
+				else {
+					body = body(now());
+				}
 				sent = now();
-				body = body(sent);
 				this.wake = false;
 			}
+			if (body.isEmpty()) {
+				pause(50);
+				return;
+			}
 			String target = this.home.isEmpty()
 					? Executors.this.control.get(this.next % Executors.this.control.size()) : this.home;
 			Http.Answer answer = Http.call("PUT", target, "/verbenatrack/instances/" + this.id, Map.of(), body, 1000);
 			boolean good = answer.ok() && now() - sent <= 1000;
 			synchronized (Executors.this) {
+				if (this.cutOff || this.crashed) {
+					return;
+				}
 				if (good) {
 					this.acknowledged = true;
 					obey(answer.body(), sent);
