--- a/review/harness-3/Executors.java
+++ b/review/harness-3/Executors.java
@@ -47,11 +47,15 @@
 	private volatile boolean closed;
 
 	Executors(Record record, List<String> control, String service, int count, boolean failing) {
+		this(record, control, service, 0, count, failing);
+	}
+
+	Executors(Record record, List<String> control, String service, int first, int count, boolean failing) {
 		this.record = record;
 		this.control = control;
 		this.service = service;
 		this.failing = failing;
-		for (int index = 0; index < count; index++) {
+		for (int index = first; index < first + count; index++) {
 			this.executors.add(new Executor(index));
 		}
 		this.executors.forEach((executor) -> daemon(executor::beatUntilClosed));
@@ -303,6 +307,8 @@
 
 		private String home = "";
 
+		private boolean leased = true;
+
 		private int next;
 
 		Executor(int index) {
@@ -441,6 +447,11 @@
 			for (JsonNode stop : reply.path("stop")) {
 				stop(stop.get(0).asText(), stop.get(1).asInt());
 			}
+			if (reply.has("holdMs") != this.leased) {
+				this.leased = reply.has("holdMs");
+				Executors.this.record.line(this.id + " is answered " + (this.leased ? "with" : "without") + " holdMs: "
+						+ text);
+			}
 			if (!reply.has("holdMs")) {
 				return;
 			}
--- a/review/harness-3/Lab.java
+++ b/review/harness-3/Lab.java
@@ -44,6 +44,9 @@
 
 	private static final int ENTRY_COUNT = 2;
 
+	private static final Pattern LEADER_BEGAN = Pattern
+		.compile("\"FLEET_LEADER_BEGAN\".*\"term\":(\\d+)");
+
 	private static final ObjectMapper JSON = new ObjectMapper();
 
 	private final Path root = Path.of("").toAbsolutePath();
@@ -56,12 +59,15 @@
 
 	private final String network;
 
+	/** Keeps other runs away from the addresses of this one. */
+	private final ServerSocket guard = new ServerSocket();
+
 	private volatile boolean closed;
 
 	Lab(Path caseFolder) throws IOException {
 		this.record = new Record(caseFolder.resolve("record.txt"));
 		this.folder = Files.createTempDirectory("lab");
-		this.network = freeNetwork();
+		this.network = freeNetwork(this.guard);
 		Runtime.getRuntime().addShutdownHook(new Thread(this::close));
 	}
 
@@ -122,18 +128,24 @@
 	}
 
 	static ObjectNode configuration(int version) {
+		return configuration(version, List.of(SERVICE));
+	}
+
+	static ObjectNode configuration(int version, List<String> services) {
 		ObjectNode configuration = JSON.createObjectNode();
 		configuration.put("version", version);
 		configuration.putArray("routes");
-		configuration.putArray("services")
-			.addObject()
-			.put("name", SERVICE)
-			.put("healthPath", "/health")
-			.put("maxConns", 64)
-			.put("protocol", "h1")
-			.put("tls", false)
-			.put("enforcesCapacity", true)
-			.put("spare", false);
+		ArrayNode pools = configuration.putArray("services");
+		for (String service : services) {
+			pools.addObject()
+				.put("name", service)
+				.put("healthPath", "/health")
+				.put("maxConns", 64)
+				.put("protocol", "h1")
+				.put("tls", false)
+				.put("enforcesCapacity", true)
+				.put("spare", false);
+		}
 		configuration.putObject("limits")
 			.put("maxHeaderBytes", 16384)
 			.put("maxBodyBytes", 262144)
@@ -147,6 +159,10 @@
 	}
 
 	static void addRoute(ObjectNode configuration, String name, int priority, int maxAttempts) {
+		addRoute(configuration, name, priority, maxAttempts, SERVICE);
+	}
+
+	static void addRoute(ObjectNode configuration, String name, int priority, int maxAttempts, String service) {
 		((ArrayNode) configuration.get("routes")).addObject()
 			.put("name", "r-" + name)
 			.put("host", HOST)
@@ -155,7 +171,7 @@
 			.put("timeoutMs", 3000)
 			.put("targetLatencyMs", 1500)
 			.put("priority", priority)
-			.put("service", SERVICE)
+			.put("service", service)
 			.put("maxAttempts", maxAttempts)
 			.put("stretch", 3.0)
 			.put("authExempt", false);
@@ -214,6 +230,23 @@
 		return false;
 	}
 
+	/** Returns the control process whose log tells last that it began to lead. */
+	String leader() throws IOException {
+		String leader = "";
+		long latest = -1;
+		for (int index = 1; index <= CONTROL_COUNT; index++) {
+			String log = Files.readString(this.folder.resolve("control-" + index + ".log"));
+			Matcher began = LEADER_BEGAN.matcher(log);
+			while (began.find()) {
+				if (Long.parseLong(began.group(1)) > latest) {
+					latest = Long.parseLong(began.group(1));
+					leader = "control-" + index;
+				}
+			}
+		}
+		return leader;
+	}
+
 	void signal(String name, String signal) throws IOException, InterruptedException {
 		this.record.line("signal " + signal + " to " + name);
 		new ProcessBuilder("kill", "-" + signal, Long.toString(this.processes.get(name).pid())).start().waitFor();
@@ -239,6 +272,12 @@
 			}
 		}
 		this.record.close();
+		try {
+			this.guard.close();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 		if (System.getenv("KEEP") != null) {
 			System.err.println("kept: " + this.folder);
 			return;
@@ -339,11 +378,13 @@
 	}
 
 	// Returns the start of loopback addresses at which no other process listens.
-	private static String freeNetwork() {
+	private static String freeNetwork(ServerSocket guard) throws IOException {
 		Random random = new Random();
 		for (int attempt = 0; attempt < 50; attempt++) {
 			String network = "127.77." + (1 + random.nextInt(250)) + ".";
-			if (free(network + "1", 8526) && free(network + "11", 8521) && free(network + "1", 7000)) {
+			if (free(network + "1", 8526) && free(network + "11", 8521) && free(network + "1", 7000)
+					&& free(network + "250", 8526)) {
+				guard.bind(new InetSocketAddress(InetAddress.getByName(network + "250"), 8526));
 				return network;
 			}
 		}
