--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# An accepted job must finish when its route is removed. TROUBLE=0 runs it with the route kept.
+# A task that is done must not start again when its service was removed. TROUBLE=0 runs it with the service kept.
 root=$(cd "$(dirname "$0")/../.." && pwd)
 cd "$root" || exit 2
 jdk_home=$(tools/find-jdk) || exit 2
 exec "$jdk_home/bin/java" -Djdk.httpclient.allowRestrictedHeaders=host -cp 'target/review-3:target/app/*' \
-  RouteRemoved review/13
+  ServiceRemoved review/13
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,3 +7,4 @@
 rm -rf target/review-3
 mkdir -p target/review-3
 "$jdk_home/bin/javac" -d target/review-3 -cp 'target/app/*' review/harness-3/*.java
+cp review/harness-3/names.properties target/review-3/
--- a/review/harness-3/CancelBeforeSubmit.java
+++ b/review/harness-3/CancelBeforeSubmit.java
@@ -10,8 +10,7 @@
 
 	private static final String JOB = "5c0e7a21d94b36fa";
 
-	private static final String BODY = """
-			{"spec":"ms=3000","steps":[{"count":2,"cpu":2000,"memMb":1024,"estDurationMs":3000}]}""";
+	private static final String BODY = Jobs.job("ms=3000").step(2, 3000).body();
 
 	private static final int FREEZE_MILLIS = 6700;
 
--- a/review/harness-3/Executors.java
+++ b/review/harness-3/Executors.java
@@ -371,7 +371,7 @@
 			}
 			String target = this.home.isEmpty()
 					? Executors.this.control.get(this.next % Executors.this.control.size()) : this.home;
-			Http.Answer answer = Http.call("PUT", target, "/verbenatrack/instances/" + this.id, Map.of(), body, 1000);
+			Http.Answer answer = Http.call("PUT", target, Names.of("executors-path") + this.id, Map.of(), body, 1000);
 			boolean good = answer.ok() && now() - sent <= 1000;
 			synchronized (Executors.this) {
 				if (this.cutOff || this.crashed) {
@@ -404,10 +404,10 @@
 			ObjectNode body = JSON.createObjectNode();
 			body.put("service", Executors.this.service).put("address", this.address).put("zone", "shah-alam");
 			body.put("version", "v1").put("slots", 8).put("state", "ready").put("coldLeftMs", 0);
-			body.putObject("room").put("cpu", 64000).put("memMb", 262144).put("gpu", 8);
+			body.putObject("room").put("cpu", 64000).put(Names.of("memory-mb"), 262144).put("gpu", 8);
 			body.putArray("labels").add("a").add(this.rack);
 			body.put("machine", "m-" + this.id).put("clockMs", now - this.bornSteady);
-			body.put("seqNo", ++this.seqNo).put("born", this.born);
+			body.put(Names.of("report-number"), ++this.seqNo).put("born", this.born);
 			ArrayNode rows = body.putArray("running");
 			for (Run run : this.running.values()) {
 				long worked = (run.workingSince == 0) ? 0 : now - run.workingSince;
@@ -433,29 +433,29 @@
 				Executors.this.record.line(this.id + " cannot read " + text);
 				return;
 			}
-			if (reply.hasNonNull("heartbeatAddr")) {
-				this.home = reply.get("heartbeatAddr").asText();
+			if (reply.hasNonNull(Names.of("next-address"))) {
+				this.home = reply.get(Names.of("next-address")).asText();
 			}
-			this.retryAt = now() + reply.path("retryMs").asLong(HEARTBEAT_MILLIS);
+			this.retryAt = now() + reply.path(Names.of("next-millis")).asLong(HEARTBEAT_MILLIS);
 			long token = reply.path("fence").asLong(0);
 			if (token < this.fence) {
 				Executors.this.record.line(this.id + " ignores fence " + token + ", has seen " + this.fence);
 				return;
 			}
 			this.fence = token;
-			this.ends.headMap(reply.path("lastSeen").asLong(0), true).clear();
+			this.ends.headMap(reply.path(Names.of("noted-end")).asLong(0), true).clear();
 			for (JsonNode stop : reply.path("stop")) {
 				stop(stop.get(0).asText(), stop.get(1).asInt());
 			}
-			if (reply.has("holdMs") != this.leased) {
-				this.leased = reply.has("holdMs");
+			if (reply.has(Names.of("lease-millis")) != this.leased) {
+				this.leased = reply.has(Names.of("lease-millis"));
 				Executors.this.record.line(this.id + " is answered " + (this.leased ? "with" : "without") + " holdMs: "
 						+ text);
 			}
-			if (!reply.has("holdMs")) {
+			if (!reply.has(Names.of("lease-millis"))) {
 				return;
 			}
-			this.leaseEnd = Math.max(this.leaseEnd, sent + Math.min(MAX_HOLD_MILLIS, reply.get("holdMs").asLong()));
+			this.leaseEnd = Math.max(this.leaseEnd, sent + Math.min(MAX_HOLD_MILLIS, reply.get(Names.of("lease-millis")).asLong()));
 			for (JsonNode start : reply.path("start")) {
 				start(start.get(0).asText(), start.get(1).asInt(), start.get(2).asText());
 			}
--- a/review/harness-3/Lab.java
+++ b/review/harness-3/Lab.java
@@ -102,7 +102,7 @@
 		configure(configuration);
 		long end = Executors.now() + 30_000;
 		for (int index = 1; index <= ENTRY_COUNT; index++) {
-			while (!Http.call("GET", ip("entry-" + index) + ":8523", "/verbenatrack/ready", Map.of(), "", 1000).ok()) {
+			while (!Http.call("GET", ip("entry-" + index) + ":8523", Names.of("readiness-path"), Map.of(), "", 1000).ok()) {
 				if (Executors.now() > end) {
 					throw new IllegalStateException("entry-" + index + " is not ready");
 				}
@@ -116,7 +116,7 @@
 		long end = Executors.now() + 30_000;
 		for (int attempt = 0; Executors.now() < end; attempt++) {
 			String target = control().get(attempt % CONTROL_COUNT);
-			Http.Answer answer = Http.call("PUT", target, "/verbenatrack/config", Map.of(), configuration.toString(),
+			Http.Answer answer = Http.call("PUT", target, Names.of("configuration-path"), Map.of(), configuration.toString(),
 					1000);
 			this.record.line("operator: PUT configuration " + configuration.get("version") + " -> " + answer);
 			if (answer.ok()) {
@@ -143,7 +143,7 @@
 				.put("maxConns", 64)
 				.put("protocol", "h1")
 				.put("tls", false)
-				.put("enforcesCapacity", true)
+				.put(Names.of("guards-room"), true)
 				.put("spare", false);
 		}
 		configuration.putObject("limits")
@@ -153,7 +153,7 @@
 			.put("idleTimeoutMs", 15000);
 		ObjectNode tenant = configuration.putArray("tenants").addObject();
 		tenant.put("name", "kaje80");
-		tenant.putArray("apiKeys").add(KEY);
+		tenant.putArray(Names.of("keys")).add(KEY);
 		tenant.put("priority", 1).putObject("guaranteed").put("gpu", 16);
 		return configuration;
 	}
@@ -166,15 +166,15 @@
 		((ArrayNode) configuration.get("routes")).addObject()
 			.put("name", "r-" + name)
 			.put("host", HOST)
-			.put("pathPrefix", "/" + name + "/")
+			.put(Names.of("path-prefix"), "/" + name + "/")
 			.put("kind", "non_idempotent")
 			.put("timeoutMs", 3000)
-			.put("targetLatencyMs", 1500)
+			.put(Names.of("latency-millis"), 1500)
 			.put("priority", priority)
 			.put("service", service)
-			.put("maxAttempts", maxAttempts)
+			.put(Names.of("attempts"), maxAttempts)
 			.put("stretch", 3.0)
-			.put("authExempt", false);
+			.put(Names.of("open"), false);
 	}
 
 	Http.Answer client(int entry, String method, String route, String id, String body) {
@@ -184,7 +184,7 @@
 	Http.Answer client(int entry, String method, String route, String id, String body, int deadlineMillis) {
 		this.record.line("client: " + method + " /" + route + "/" + id + " at entry-" + entry + " " + body);
 		Http.Answer answer = Http.call(method, entry(entry), "/" + route + "/" + id,
-				Map.of("Host", HOST, "Api-Key", KEY, "X-Deadline-Ms", Integer.toString(deadlineMillis)), body,
+				Map.of("Host", HOST, Names.of("key-header"), KEY, Names.of("deadline-header"), Integer.toString(deadlineMillis)), body,
 				deadlineMillis);
 		this.record.line("client: " + method + " /" + route + "/" + id + " at entry-" + entry + " -> " + answer);
 		return answer;
@@ -297,7 +297,7 @@
 		ProcessBuilder builder = new ProcessBuilder(command(entry ? "entry" : "control"));
 		builder.directory(this.root.toFile());
 		builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
-		builder.environment().put("VERBENATRACK_CONFIG", settings.toString());
+		builder.environment().put(Names.of("settings-variable"), settings.toString());
 		builder.redirectErrorStream(true);
 		builder.redirectOutput(ProcessBuilder.Redirect.appendTo(this.folder.resolve(name + ".log").toFile()));
 		this.processes.put(name, builder.start());
@@ -319,8 +319,8 @@
 
 	private String settings(String name, boolean entry) throws IOException {
 		ObjectNode settings = JSON.createObjectNode();
-		settings.put("nodeName", name).put("role", entry ? "entry" : "control");
-		settings.put("machineClass", entry ? "edge" : "core");
+		settings.put(Names.of("process-name"), name).put("role", entry ? "entry" : "control");
+		settings.put(Names.of("machine-class"), entry ? "edge" : "core");
 		settings.putArray("serves").add(entry ? "edge" : "control");
 		settings.put("ip", ip(name)).put("zone", "shah-alam").put("region", "klang-valley");
 		settings.putObject("zones")
@@ -334,7 +334,7 @@
 		else {
 			listen.put("control", ip(name) + ":8526");
 		}
-		settings.putArray("internalPorts").add(7000).add(7015);
+		settings.putArray(Names.of("internal-ports")).add(7000).add(7015);
 		ArrayNode seeds = settings.putArray("seeds");
 		control().forEach(seeds::add);
 		settings.put("bootstrap", true).put("faultCounted", !entry);
@@ -346,10 +346,10 @@
 			.put("linkMbps", 1000.0)
 			.put("diskMb", entry ? 0 : 128);
 		if (entry) {
-			settings.putNull("dataDir");
+			settings.putNull(Names.of("data-folder"));
 		}
 		else {
-			settings.put("dataDir", Files.createDirectories(this.folder.resolve(name + ".data")).toString());
+			settings.put(Names.of("data-folder"), Files.createDirectories(this.folder.resolve(name + ".data")).toString());
 		}
 		settings.put("discovery", "registry").put("entry", "vip").put("heartbeatMs", 1500);
 		ArrayNode contracts = settings.putArray("contracts");
--- a/review/harness-3/LastingGang.java
+++ b/review/harness-3/LastingGang.java
@@ -23,9 +23,9 @@
 			while (!executors.allKnown() && Executors.now() < end) {
 				Executors.pause(100);
 			}
-			lab.submit("lohu930", JOB, """
-					{"spec":"gang=2;last=1;fail=2500","steps":[{"count":2,"cpu":2000,"memMb":1024,"gpu":1,\
-					"estDurationMs":9000,"gang":true,"longRunning":true}]}""");
+			lab.submit("lohu930", JOB, Jobs.job("gang=2;last=1;fail=2500")
+				.step(2, 9000, (step) -> step.put("gpu", 1).put("gang", true).put(Names.of("lasting"), true))
+				.body());
 			// Long enough for maxAttempts failures and 15 s without a disruption after the last.
 			long stopAt = Executors.now() + 30_000;
 			long lastRun = 0;
--- a/review/harness-3/LastingGangDone.java
+++ b/review/harness-3/LastingGangDone.java
@@ -27,9 +27,13 @@
 			while (!executors.allKnown() && Executors.now() < end) {
 				Executors.pause(100);
 			}
-			lab.submit("lohu930", JOB, """
-					{"spec":"gang=2;last=1;done=%d","steps":[{"count":2,"cpu":2000,"memMb":1024,"gpu":1,\
-					"estDurationMs":9000,"gang":true,"antiAffinity":1,"longRunning":true}]}""".formatted(DONE_MILLIS));
+			lab.submit("lohu930", JOB, Jobs.job("gang=2;last=1;done=" + DONE_MILLIS)
+				.step(2, 9000,
+						(step) -> step.put("gpu", 1)
+							.put("gang", true)
+							.put(Names.of("most-on-one-executor"), 1)
+							.put(Names.of("lasting"), true))
+				.body());
 			while (executors.starts(JOB).size() < 2) {
 				if (Executors.now() > end) {
 					return Lab.NOT_RUN;
--- a/review/harness-3/RouteRemoved.java
+++ b/review/harness-3/RouteRemoved.java
@@ -24,9 +24,8 @@
 			while (!executors.allKnown() && Executors.now() < end) {
 				Executors.pause(100);
 			}
-			lab.submit("lohu930", JOB, """
-					{"spec":"ms=4000","steps":[{"count":2,"cpu":2000,"memMb":1024,"estDurationMs":4000},\
-					{"count":2,"cpu":2000,"memMb":1024,"estDurationMs":4000,"after":[0]}]}""");
+			lab.submit("lohu930", JOB,
+					Jobs.job("ms=4000").step(2, 4000).step(2, 4000, (step) -> step.putArray("after").add(0)).body());
 			while (executors.starts(JOB).size() < 2) {
 				if (Executors.now() > end) {
 					return Lab.NOT_RUN;
--- a/review/harness-3/ServiceRemoved.java
+++ b/review/harness-3/ServiceRemoved.java
@@ -34,9 +34,7 @@
 			while ((!earlier.allKnown() || !later.allKnown()) && Executors.now() < end) {
 				Executors.pause(100);
 			}
-			lab.submit("lohu930", JOB, """
-					{"spec":"ms=%d","steps":[{"count":2,"cpu":2000,"memMb":1024,"estDurationMs":%d}]}"""
-				.formatted(WORK_MILLIS, WORK_MILLIS));
+			lab.submit("lohu930", JOB, Jobs.job("ms=" + WORK_MILLIS).step(2, WORK_MILLIS).body());
 			while (earlier.starts(JOB).size() < 2) {
 				if (Executors.now() > end) {
 					return Lab.NOT_RUN;
