--- a/review/harness-3/Executors.java
+++ b/review/harness-3/Executors.java
@@ -87,7 +87,7 @@
 			.count();
 	}
 
-	/** Cuts the links between an executor and all others; what runs on it runs on. */
+	/** Cuts the links between an executor and the control processes; what runs on it runs on. */
 	synchronized void cutOff(String id) {
 		this.record.line(id + " is cut off");
 		byId(id).cutOff = true;
