Record the cancellation of an unknown job before it is acknowledged

Cause: the cancellation of an unknown job was answered from the state and left no trace, so the submission that came later was taken for a new job. Two calls that shared a turn of the leader had the same fault without any suspension: the submission was answered 200, the cancellation 410, and the job ran.

Change: the command CancelUnknownJob records the cancellation on a quorum before it is answered. While it is recorded, a submission of the job by the same client account is not accepted and is answered with 410; queries for the job stay 410. The state machine decides this when it applies the commands, so the order within a turn counts. Records are kept as long as ended jobs, counted anew by a new leader, and bounded in bytes for each client account beside the memory for jobs; without room the cancellation is refused with 429 and Retry-After.

JobRetention shares Retention with CancellationRetention.

--- a/fleet/src/main/java/io/verbenatrack/fleet/call/FleetReply.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/call/FleetReply.java
@@ -52,6 +52,14 @@
 
 	}
 
+	/**
+	 * The client account has cancelled the job before it arrived. It was not accepted and
+	 * never runs.
+	 */
+	record JobCancelled() implements FleetReply {
+
+	}
+
 	/**
 	 * No availability zone of that name is known, and the call changed nothing.
 	 */
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetEvent.java
@@ -8,6 +8,7 @@
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.state.Cancellation;
 import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.ServiceId;
@@ -69,6 +70,29 @@
 
 	}
 
+	/**
+	 * The cancellation of an unknown job was refused, as its client account has no room
+	 * for it.
+	 *
+	 * @param cancellation the cancellation
+	 * @param accountBytes the memory that the cancellations of the account take already
+	 * @param maxBytes the room of the account in bytes
+	 * @param retryMillis when there may be room, in milliseconds from now
+	 */
+	record CancellationRefused(Cancellation cancellation, long accountBytes, long maxBytes,
+			long retryMillis) implements FleetEvent {
+
+	}
+
+	/**
+	 * A job was refused, as its client account cancelled it before it arrived.
+	 *
+	 * @param cancellation the cancellation of the job
+	 */
+	record CancelledJobRefused(Cancellation cancellation) implements FleetEvent {
+
+	}
+
 	/**
 	 * A job was refused, as the replicas lack the memory for it.
 	 *
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -18,6 +18,7 @@
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
+import io.verbenatrack.fleet.state.Cancellation;
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.fleet.state.JobState;
@@ -74,6 +75,8 @@
 
 	private final JobRetention retention;
 
+	private final CancellationRetention cancellationRetention;
+
 	private final RunLearning learning;
 
 	/**
@@ -115,6 +118,7 @@
 		this.runMover = new StalledRunMover(state, this.registry, this.learning.forecast());
 		this.placementHistory = new PlacementHistory(this.runMover);
 		this.retention = new JobRetention(timings.endedJobRetention(), now.nanos());
+		this.cancellationRetention = new CancellationRetention(timings.endedJobRetention(), now.nanos());
 		this.earlierReportsEndNanos = now.nanos() + timings.maxLeaseNanos();
 		state.incarnationsInUse().forEach((incarnation) -> this.inheritedRuns.putAll(state.runsOn(incarnation)));
 	}
@@ -317,6 +321,15 @@
 		return this.retention.sweep(this.state, now.nanos());
 	}
 
+	/**
+	 * Decides which recorded cancellations of unknown jobs leave the state.
+	 * @param now the time
+	 * @return the command that removes them, or empty if there are none
+	 */
+	public Optional<FleetCommand> forgetCancellations(GrantedTime now) {
+		return this.cancellationRetention.sweep(this.state, now.nanos());
+	}
+
 	/**
 	 * Decides what of the learned run times and worker speeds is recorded.
 	 * @param now the time
@@ -336,13 +349,40 @@
 	 * @return when the caller should retry, in milliseconds from now
 	 */
 	public long refuseJob(JobId job, AccountId account, long bytes, long maxBytes, GrantedTime now) {
-		Duration untilRoom = this.retention.untilNext(now.nanos()).orElse(MAX_ROOM_RETRY);
-		long retryMillis = Math.clamp(untilRoom.toMillis(), MIN_ROOM_RETRY.toMillis(), MAX_ROOM_RETRY.toMillis());
+		long retryMillis = roomRetryMillis(this.retention.untilNext(now.nanos()));
 		this.events.add(new FleetEvent.JobRefused(job, account, bytes,
 				this.state.bytesByAccount().getOrDefault(account, 0L), maxBytes, retryMillis));
 		return retryMillis;
 	}
 
+	private static long roomRetryMillis(Optional<Duration> untilRoom) {
+		return Math.clamp(untilRoom.orElse(MAX_ROOM_RETRY).toMillis(), MIN_ROOM_RETRY.toMillis(),
+				MAX_ROOM_RETRY.toMillis());
+	}
+
+	/**
+	 * Records that the cancellation of an unknown job is refused, as its client account
+	 * has no room for it.
+	 * @param cancellation the cancellation
+	 * @param maxBytes the room of the account in bytes
+	 * @param now the time
+	 * @return when the caller should retry, in milliseconds from now
+	 */
+	public long refuseCancellation(Cancellation cancellation, long maxBytes, GrantedTime now) {
+		long retryMillis = roomRetryMillis(this.cancellationRetention.untilNext(now.nanos()));
+		this.events.add(new FleetEvent.CancellationRefused(cancellation,
+				this.state.cancellations().bytes(cancellation.account()), maxBytes, retryMillis));
+		return retryMillis;
+	}
+
+	/**
+	 * Records that a job is refused, as its account has cancelled it before.
+	 * @param cancellation the cancellation of the job
+	 */
+	public void refuseCancelledJob(Cancellation cancellation) {
+		this.events.add(new FleetEvent.CancelledJobRefused(cancellation));
+	}
+
 	/**
 	 * Returns the rules for orders to evacuate availability zones.
 	 * @return the rules, which record refused orders as events of this scheduler
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/JobAdmission.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/JobAdmission.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 
+import io.verbenatrack.fleet.state.Cancellations;
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.model.AccountId;
 
@@ -20,6 +21,12 @@
 	/** The jobs may take one part of so many of the heap. */
 	private static final long HEAP_PARTS = 4;
 
+	/**
+	 * The recorded cancellations may take as much as one of so many parts of the jobs, in
+	 * addition to them.
+	 */
+	private static final long CANCELLATION_PARTS = 8;
+
 	/** Callers of queues without API keys use an account that no configuration names. */
 	private static final int UNNAMED_ACCOUNTS = 1;
 
@@ -56,9 +63,37 @@
 		return borrowed <= this.maxBytes / 2;
 	}
 
+	/**
+	 * Returns whether the cancellation of an unknown job may be recorded. Each account
+	 * has the same room for them and borrows none, so that no account takes the room of
+	 * another one or of jobs.
+	 * @param state the state of the fleet
+	 * @param undecided how many cancellations of the account are accepted but not yet in
+	 * the state
+	 * @param account the client account that cancels the job
+	 * @return whether the account has room for another cancellation
+	 */
+	public boolean admitsCancellation(FleetState state, int undecided, AccountId account) {
+		long bytes = state.cancellations().bytes(account) + (undecided + 1) * Cancellations.BYTES;
+		return bytes <= maxCancellationBytes(state);
+	}
+
+	/**
+	 * Returns how much memory the recorded cancellations of an account may take.
+	 * @param state the state of the fleet
+	 * @return the maximum in bytes
+	 */
+	public long maxCancellationBytes(FleetState state) {
+		return this.maxBytes / CANCELLATION_PARTS / accounts(state);
+	}
+
 	private long share(FleetState state) {
-		int accounts = state.configuration().map((known) -> known.configuration().accounts().size()).orElse(0);
-		return this.maxBytes / 2 / (accounts + UNNAMED_ACCOUNTS);
+		return this.maxBytes / 2 / accounts(state);
+	}
+
+	private static int accounts(FleetState state) {
+		return UNNAMED_ACCOUNTS
+				+ state.configuration().map((known) -> known.configuration().accounts().size()).orElse(0);
 	}
 
 	private static long use(FleetState state, Map<AccountId, Long> undecided, AccountId account) {
--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/JobRetention.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/JobRetention.java
@@ -1,11 +1,9 @@
 package io.verbenatrack.fleet.policy;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -15,25 +13,14 @@
 import io.verbenatrack.model.JobId;
 
 /**
- * Removes jobs that ended long ago. A new leader counts the retention of each ended job
- * from the start of its term.
+ * Removes jobs that ended long ago.
  */
 final class JobRetention {
 
-	private static final long SWEEP_INTERVAL_NANOS = Duration.ofSeconds(2).toNanos();
-
-	/** Limits the size of a command. */
-	private static final int MAX_FORGOTTEN_JOBS = 500;
-
-	private final long retentionNanos;
-
-	private final Map<JobId, Long> endedNanos = new LinkedHashMap<>();
-
-	private long nextSweepNanos;
+	private final Retention<JobId> retention;
 
 	JobRetention(Duration retention, long startNanos) {
-		this.retentionNanos = retention.toNanos();
-		this.nextSweepNanos = startNanos;
+		this.retention = new Retention<>(retention, startNanos);
 	}
 
 	/**
@@ -43,27 +30,21 @@
 	 * @return the command that removes them, or empty if there are none
 	 */
 	Optional<FleetCommand> sweep(FleetState state, long nowNanos) {
-		if (nowNanos - this.nextSweepNanos < 0) {
+		if (!this.retention.beginSweep(nowNanos)) {
 			return Optional.empty();
 		}
-		this.nextSweepNanos = nowNanos + SWEEP_INTERVAL_NANOS;
-		this.endedNanos.keySet().removeIf((job) -> state.job(job).isEmpty());
+		List<JobId> expired = this.retention.expired(endedJobs(state), jobsWithRuns(state), nowNanos);
+		return expired.isEmpty() ? Optional.empty() : Optional.of(new FleetCommand.ForgetJobs(expired));
+	}
+
+	private static Set<JobId> endedJobs(FleetState state) {
+		Set<JobId> ended = new LinkedHashSet<>();
 		for (JobState job : state.jobs()) {
 			if (job.phase().ended()) {
-				this.endedNanos.putIfAbsent(job.job(), nowNanos);
+				ended.add(job.job());
 			}
 		}
-		Set<JobId> running = jobsWithRuns(state);
-		List<JobId> expired = new ArrayList<>();
-		for (Map.Entry<JobId, Long> ended : this.endedNanos.entrySet()) {
-			if (nowNanos - ended.getValue() < this.retentionNanos || expired.size() == MAX_FORGOTTEN_JOBS) {
-				break;
-			}
-			if (!running.contains(ended.getKey())) {
-				expired.add(ended.getKey());
-			}
-		}
-		return expired.isEmpty() ? Optional.empty() : Optional.of(new FleetCommand.ForgetJobs(expired));
+		return ended;
 	}
 
 	private static Set<JobId> jobsWithRuns(FleetState state) {
@@ -79,10 +60,7 @@
 	 * @return the time until then, or empty if no job has ended
 	 */
 	Optional<Duration> untilNext(long nowNanos) {
-		return this.endedNanos.values()
-			.stream()
-			.findFirst()
-			.map((ended) -> Duration.ofNanos(Math.max(0, ended + this.retentionNanos - nowNanos)));
+		return this.retention.untilNext(nowNanos);
 	}
 
 }
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCommand.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetCommand.java
@@ -29,7 +29,7 @@
 	}
 
 	/**
-	 * Accepts a job.
+	 * Accepts a job, unless its account has cancelled it before.
 	 *
 	 * @param job the job
 	 * @param queue the name of the queue
@@ -51,6 +51,17 @@
 
 	}
 
+	/**
+	 * Cancels a job that was unknown when this was decided. If the account has submitted
+	 * it since, it is cancelled; otherwise a later submission by the account is not
+	 * accepted.
+	 *
+	 * @param cancellation the account and the job
+	 */
+	record CancelUnknownJob(Cancellation cancellation) implements FleetCommand {
+
+	}
+
 	/**
 	 * Starts a run. The start is sent to the worker only after this command is committed.
 	 *
@@ -104,6 +115,19 @@
 
 	}
 
+	/**
+	 * Removes cancellations of unknown jobs that were recorded long ago.
+	 *
+	 * @param cancellations the cancellations
+	 */
+	record ForgetCancellations(List<Cancellation> cancellations) implements FleetCommand {
+
+		public ForgetCancellations {
+			cancellations = List.copyOf(cancellations);
+		}
+
+	}
+
 	/**
 	 * Evacuates an availability zone: its workers begin no tasks until
 	 * {@link WithdrawEvacuation}. Changes nothing if the zone is evacuated already.
--- a/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/state/FleetState.java
@@ -35,6 +35,8 @@
 
 	private final EvacuationState evacuations = new EvacuationState();
 
+	private final Cancellations cancellations = new Cancellations();
+
 	private final RunTimes runTimes = new RunTimes();
 
 	private Optional<ConfigurationIndex> configuration = Optional.empty();
@@ -78,10 +80,12 @@
 			case FleetCommand.AcceptJob accept -> accept(accept);
 			case FleetCommand.CancelJob cancel ->
 				job(cancel.job()).ifPresent((job) -> changePhase(job, JobState::cancel));
+			case FleetCommand.CancelUnknownJob cancel -> cancel(cancel.cancellation());
 			case FleetCommand.StartRun start -> start(start);
 			case FleetCommand.BeginJobs begin -> begin.jobs().forEach((id) -> job(id).ifPresent(JobState::markRunning));
 			case FleetCommand.EndRun end -> end(end);
 			case FleetCommand.ForgetJobs forget -> forget.jobs().forEach(this::forget);
+			case FleetCommand.ForgetCancellations forget -> forget.cancellations().forEach(this.cancellations::remove);
 			case FleetCommand.EvacuateZone evacuate -> this.evacuations.evacuate(evacuate.zone());
 			case FleetCommand.WithdrawEvacuation withdraw -> this.evacuations.withdraw(withdraw.zone());
 			case FleetCommand.RecordRunTimes record -> this.runTimes.record(record.classes(), record.speeds());
@@ -89,7 +93,8 @@
 	}
 
 	private void accept(FleetCommand.AcceptJob accept) {
-		if (!this.jobs.containsKey(accept.job())) {
+		boolean cancelled = this.cancellations.contains(new Cancellation(accept.account(), accept.job()));
+		if (!cancelled && !this.jobs.containsKey(accept.job())) {
 			JobState job = new JobState(accept);
 			this.jobs.put(accept.job(), job);
 			this.unfinished.put(accept.job(), job);
@@ -97,6 +102,14 @@
 		}
 	}
 
+	private void cancel(Cancellation cancellation) {
+		Optional<JobState> submitted = jobOf(cancellation);
+		submitted.ifPresent((job) -> changePhase(job, JobState::cancel));
+		if (submitted.isEmpty()) {
+			this.cancellations.add(cancellation);
+		}
+	}
+
 	private void addBytes(AccountId account, long bytes) {
 		this.bytesByAccount.merge(account, bytes, Long::sum);
 		this.bytesByAccount.remove(account, 0L);
@@ -264,6 +277,23 @@
 		return Optional.ofNullable(this.jobs.get(job));
 	}
 
+	/**
+	 * Returns the job that a cancellation concerns.
+	 * @param cancellation the cancellation
+	 * @return the state of the job, or empty when its account has submitted no such job
+	 */
+	public Optional<JobState> jobOf(Cancellation cancellation) {
+		return job(cancellation.job()).filter((job) -> job.account().equals(cancellation.account()));
+	}
+
+	/**
+	 * Returns the cancellations of jobs that were unknown.
+	 * @return a live view
+	 */
+	public Cancellations cancellations() {
+		return this.cancellations;
+	}
+
 	/**
 	 * Returns the jobs that have not ended, in the order of their acceptance.
 	 * @return a live view of the jobs
@@ -338,7 +368,8 @@
 		return new FleetSnapshot(FleetSnapshot.FORMAT, this.term, this.sequence,
 				this.configuration.map(ConfigurationIndex::configuration), this.document,
 				this.jobs.values().stream().map(JobState::toRecord).toList(), List.copyOf(this.evacuations.evacuated()),
-				List.copyOf(this.evacuations.withdrawn()), this.runTimes.toRecord(), this.workerRuns.serviceRecords());
+				List.copyOf(this.evacuations.withdrawn()), this.runTimes.toRecord(), this.workerRuns.serviceRecords(),
+				List.copyOf(this.cancellations.all()));
 	}
 
 	void restore(FleetSnapshot snapshot) {
@@ -354,6 +385,7 @@
 		snapshot.jobs().forEach((record) -> restore(JobState.fromRecord(record)));
 		snapshot.workerServices().forEach((record) -> this.workerRuns.recordService(record.life(), record.service()));
 		this.runTimes.restore(snapshot.runTimes());
+		this.cancellations.restore(snapshot.cancellations());
 	}
 
 	private void restore(JobState job) {
@@ -380,10 +412,13 @@
 	 * none before format 3
 	 * @param runTimes the learned run times and worker speeds; absent before format 3
 	 * @param workerServices the services of the workers with runs, none before format 4
+	 * @param cancellations the cancellations of jobs that were unknown, none before
+	 * format 4
 	 */
 	record FleetSnapshot(int format, long term, long sequence, Optional<FleetConfiguration> configuration,
 			byte[] document, List<JobState.JobRecord> jobs, List<ZoneId> evacuatedZones, List<ZoneId> withdrawnZones,
-			RunTimes.RunTimesRecord runTimes, List<WorkerRuns.WorkerService> workerServices) {
+			RunTimes.RunTimesRecord runTimes, List<WorkerRuns.WorkerService> workerServices,
+			List<Cancellation> cancellations) {
 
 		static final int FORMAT = 4;
 
@@ -395,6 +430,7 @@
 			withdrawnZones = (withdrawnZones != null) ? List.copyOf(withdrawnZones) : List.of();
 			runTimes = (runTimes != null) ? runTimes : RunTimes.RunTimesRecord.NONE;
 			workerServices = (workerServices != null) ? List.copyOf(workerServices) : List.of();
+			cancellations = (cancellations != null) ? List.copyOf(cancellations) : List.of();
 		}
 
 	}
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/JobAdmissionTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/JobAdmissionTests.java
@@ -8,6 +8,7 @@
 
 import io.verbenatrack.fleet.Fixtures;
 import io.verbenatrack.fleet.model.JobPlan;
+import io.verbenatrack.fleet.state.Cancellation;
 import io.verbenatrack.fleet.state.FleetBatch;
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.fleet.state.FleetState;
@@ -75,4 +76,19 @@
 		assertThat(ADMISSION.admits(this.state, Map.of(GREEDY, 700_000L), GREEDY, 60_000)).isFalse();
 	}
 
+	// Guards against cancellations of unknown jobs that fill the memory of the replicas,
+	// or take the room of another account or of jobs.
+	@Test
+	public void cancellationsOfUnknownJobsAreBoundedForEachAccount() {
+		while (ADMISSION.admitsCancellation(this.state, 0, GREEDY)) {
+			apply(new FleetCommand.CancelUnknownJob(new Cancellation(GREEDY, Fixtures.job(++this.jobs))));
+		}
+		assertThat(this.state.cancellations().bytes(GREEDY)).isBetween(60_000L, 62_500L);
+		assertThat(ADMISSION.admitsCancellation(this.state, 200, MODEST)).isTrue();
+		assertThat(ADMISSION.admitsCancellation(this.state, 210, MODEST)).isFalse();
+		assertThat(admits(GREEDY, 700_000)).isTrue();
+		apply(new FleetCommand.ForgetCancellations(List.of(new Cancellation(GREEDY, Fixtures.job(1)))));
+		assertThat(ADMISSION.admitsCancellation(this.state, 0, GREEDY)).isTrue();
+	}
+
 }
--- a/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/state/FleetFormatTests.java
@@ -42,7 +42,8 @@
 						new FleetCommand.BeginJobs(List.of(accepted.job())),
 						new FleetCommand.EvacuateZone(new ZoneId("zone-1")),
 						new FleetCommand.WithdrawEvacuation(new ZoneId("zone-2")),
-						SampleRecords.of(FleetCommand.RecordRunTimes.class).getFirst())));
+						SampleRecords.of(FleetCommand.RecordRunTimes.class).getFirst(),
+						SampleRecords.of(FleetCommand.CancelUnknownJob.class).getFirst())));
 		assertThat(sample.runsOn(life)).hasSize(1);
 		this.golden.assertCompatible("snapshot-4", List.of(sample), this::restored, this::snapshot);
 	}
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
@@ -18,6 +18,7 @@
 import io.verbenatrack.fleet.policy.FleetScheduler;
 import io.verbenatrack.fleet.policy.JobAdmission;
 import io.verbenatrack.fleet.policy.ReportCheck;
+import io.verbenatrack.fleet.state.Cancellation;
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.fleet.state.JobFootprint;
@@ -58,6 +59,9 @@
 	/** The memory of the jobs that this turn accepts, in bytes. */
 	private final Map<AccountId, Long> acceptedBytes = new HashMap<>();
 
+	/** The cancellations of unknown jobs that this turn records. */
+	private final Map<AccountId, Integer> cancellations = new HashMap<>();
+
 	CallDecider(FleetScheduler scheduler, FleetState state, JobAdmission admission, EvacuationDecider evacuations,
 			long nowMillis) {
 		this.scheduler = scheduler;
@@ -71,7 +75,7 @@
 		return switch (call) {
 			case FleetCall.SubmitJob submit -> decideInQueue(submit.origin(), (path) -> submit(path, submit, arrived));
 			case FleetCall.AskState ask -> decideInQueue(ask.origin(), this::queryState);
-			case FleetCall.CancelJob cancel -> decideInQueue(cancel.origin(), this::cancel);
+			case FleetCall.CancelJob cancel -> decideInQueue(cancel.origin(), (path) -> cancel(path, arrived));
 			case FleetCall.Heartbeat heartbeat -> heartbeat(heartbeat.report(), arrived);
 			case FleetCall.Leave leave -> {
 				this.scheduler.markWorkerLeft(leave.worker());
@@ -109,6 +113,9 @@
 			return CallDecision.of(new FleetReply.Invalid(new Problem(ProblemKind.INVALID,
 					"'" + path.name() + "' names no job.", "Use 16 hexadecimal digits.")));
 		}
+		if (this.state.cancellations().contains(path.cancellation())) {
+			return CallDecision.of(refuseCancelled(path));
+		}
 		if (this.state.job(path.jobId()).isPresent()) {
 			return CallDecision.of(new FleetReply.Stored());
 		}
@@ -118,7 +125,18 @@
 		}
 		this.acceptedBytes.merge(path.account(), bytes, Long::sum);
 		return CallDecision.afterCommit(new FleetCommand.AcceptJob(path.jobId(), path.queue().name(), path.account(),
-				submit.plan(), this.nowMillis), new FleetReply.Stored());
+				submit.plan(), this.nowMillis), () -> submitted(path));
+	}
+
+	// The job may have been cancelled in the same turn before it was accepted.
+	private FleetReply submitted(JobPath path) {
+		return this.state.cancellations().contains(path.cancellation()) ? refuseCancelled(path)
+				: new FleetReply.Stored();
+	}
+
+	private FleetReply refuseCancelled(JobPath path) {
+		this.scheduler.refuseCancelledJob(path.cancellation());
+		return new FleetReply.JobCancelled();
 	}
 
 	private FleetReply noMemory(JobPath path, long bytes, GrantedTime arrived) {
@@ -149,17 +167,45 @@
 			.count();
 	}
 
-	private CallDecision cancel(JobPath path) {
-		Optional<JobState> job = path.hasJobId() ? this.state.job(path.jobId()) : Optional.empty();
-		if (job.isEmpty()) {
+	private CallDecision cancel(JobPath path, GrantedTime arrived) {
+		if (!path.hasJobId()) {
 			return CallDecision.of(new FleetReply.NoSuchJob());
 		}
+		Optional<JobState> job = this.state.job(path.jobId());
+		if (job.isEmpty()) {
+			return cancelUnknown(path, arrived);
+		}
 		if (job.get().phase().ended()) {
 			return CallDecision.of(new FleetReply.Stored());
 		}
 		return CallDecision.afterCommit(new FleetCommand.CancelJob(path.jobId()), new FleetReply.Stored());
 	}
 
+	// The call that submits the job may still be on its way, so the cancellation is
+	// recorded before it is acknowledged.
+	private CallDecision cancelUnknown(JobPath path, GrantedTime arrived) {
+		Cancellation cancellation = path.cancellation();
+		if (this.state.cancellations().contains(cancellation)) {
+			return CallDecision.of(new FleetReply.NoSuchJob());
+		}
+		int undecided = this.cancellations.getOrDefault(path.account(), 0);
+		if (!this.admission.admitsCancellation(this.state, undecided, path.account())) {
+			return CallDecision.of(noRoomToCancel(cancellation, arrived));
+		}
+		this.cancellations.merge(path.account(), 1, Integer::sum);
+		return CallDecision.afterCommit(new FleetCommand.CancelUnknownJob(cancellation),
+				() -> this.state.jobOf(cancellation).isPresent() ? new FleetReply.Stored()
+						: new FleetReply.NoSuchJob());
+	}
+
+	private FleetReply noRoomToCancel(Cancellation cancellation, GrantedTime arrived) {
+		long retryMillis = this.scheduler.refuseCancellation(cancellation,
+				this.admission.maxCancellationBytes(this.state), arrived);
+		return new FleetReply.Refused(new Problem(ProblemKind.OVERLOADED,
+				"The client account has cancelled too many unknown jobs, so this cancellation is not recorded.",
+				"Come back once some of them are forgotten."), retryMillis);
+	}
+
 	private CallDecision heartbeat(WorkerReport report, GrantedTime arrived) {
 		Optional<Problem> problem = ReportCheck.problem(report, this.nowMillis);
 		if (problem.isPresent()) {
@@ -209,6 +255,10 @@
 			return new JobId(this.name);
 		}
 
+		Cancellation cancellation() {
+			return new Cancellation(this.account, jobId());
+		}
+
 	}
 
 }
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecision.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecision.java
@@ -19,7 +19,11 @@
 	}
 
 	static CallDecision afterCommit(FleetCommand command, FleetReply reply) {
-		return new CallDecision(List.of(command), () -> reply);
+		return afterCommit(command, () -> reply);
+	}
+
+	static CallDecision afterCommit(FleetCommand command, Supplier<FleetReply> reply) {
+		return new CallDecision(List.of(command), reply);
 	}
 
 }
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/DecisionLogger.java
@@ -32,6 +32,9 @@
 						new Field("steps", describeSteps(accept.plan())), termField);
 			case FleetCommand.CancelJob cancel ->
 				events.write(LogEvent.FLEET_JOB_CANCELLED, new Field("job", cancel.job()), termField);
+			case FleetCommand.CancelUnknownJob cancel ->
+				events.write(LogEvent.FLEET_CANCELLATION_RECORDED, new Field("job", cancel.cancellation().job()),
+						new Field("account", cancel.cancellation().account()), termField);
 			case FleetCommand.StartRun start -> events.write(LogEvent.FLEET_RUN_STARTED,
 					new Field("job", start.task().job()), new Field("task", taskNumber(start.task())),
 					new Field("run", start.run()), new Field("worker", start.life().worker()), termField);
@@ -45,6 +48,10 @@
 			case FleetCommand.ForgetJobs forget -> events.write(LogEvent.FLEET_JOBS_FORGOTTEN,
 					new Field("jobs", forget.jobs().size()), new Field("first", forget.jobs().getFirst()),
 					new Field("last", forget.jobs().getLast()), termField);
+			case FleetCommand.ForgetCancellations forget ->
+				events.write(LogEvent.FLEET_CANCELLATIONS_FORGOTTEN, new Field("jobs", forget.cancellations().size()),
+						new Field("first", forget.cancellations().getFirst().job()),
+						new Field("last", forget.cancellations().getLast().job()), termField);
 			case FleetCommand.EvacuateZone evacuate ->
 				events.write(LogEvent.FLEET_ZONE_EVACUATED, new Field("zone", evacuate.zone()), termField);
 			case FleetCommand.WithdrawEvacuation withdraw ->
@@ -78,6 +85,14 @@
 						new Field("account", refused.account()), new Field("jobBytes", refused.jobBytes()),
 						new Field("accountBytes", refused.accountBytes()), new Field("maxBytes", refused.maxBytes()),
 						new Field("retryMillis", refused.retryMillis()), termField);
+			case FleetEvent.CancellationRefused refused ->
+				events.write(LogEvent.FLEET_CANCELLATION_REFUSED, new Field("job", refused.cancellation().job()),
+						new Field("account", refused.cancellation().account()),
+						new Field("accountBytes", refused.accountBytes()), new Field("maxBytes", refused.maxBytes()),
+						new Field("retryMillis", refused.retryMillis()), termField);
+			case FleetEvent.CancelledJobRefused refused ->
+				events.write(LogEvent.FLEET_CANCELLED_JOB_REFUSED, new Field("job", refused.cancellation().job()),
+						new Field("account", refused.cancellation().account()), termField);
 			case FleetEvent.EvacuationRefused refused -> events.write(LogEvent.FLEET_EVACUATION_REFUSED,
 					new Field("zone", refused.zone()), new Field("withdrawal", refused.withdrawal()),
 					new Field("reason", refused.reason()), new Field("waitedMillis", refused.waitedMillis()),
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/FleetLoop.java
@@ -280,6 +280,7 @@
 			batch.forEach((call) -> decisions.add(decide(rules, call)));
 			List<FleetCommand> commands = new ArrayList<>(leaderTerm.scheduler.detectLostRuns(this.clock.granted()));
 			leaderTerm.scheduler.forgetJobs(this.clock.granted()).ifPresent(commands::add);
+			leaderTerm.scheduler.forgetCancellations(this.clock.granted()).ifPresent(commands::add);
 			leaderTerm.scheduler.recordRunTimes(this.clock.granted()).ifPresent(commands::add);
 			return commands;
 		});
--- a/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
+++ b/telemetry/src/main/java/io/verbenatrack/telemetry/LogEvent.java
@@ -329,7 +329,26 @@
 	/** A worker of a removed service has no runs any more. */
 	FLEET_WORKER_RELEASED(6041, System.Logger.Level.INFO,
 			"The last run of a worker has ended whose service the configuration in force lacks; it was removed.",
-			"Nothing to do; shut the worker down, or add its service to the configuration again.");
+			"Nothing to do; shut the worker down, or add its service to the configuration again."),
+
+	/** The cancellation of an unknown job is recorded. */
+	FLEET_CANCELLATION_RECORDED(6042, System.Logger.Level.INFO,
+			"A job was cancelled that is unknown; if its client account submits it later, it is refused.",
+			"Nothing to do; the call that submits the job was lost, or is still on its way."),
+
+	/** The cancellation of an unknown job is refused. */
+	FLEET_CANCELLATION_REFUSED(6043, System.Logger.Level.WARNING,
+			"The cancellation of an unknown job is refused, as its client account has cancelled too many of them.",
+			"Find out why the account cancels jobs that it has not submitted."),
+
+	/** A job arrives after its cancellation. */
+	FLEET_CANCELLED_JOB_REFUSED(6044, System.Logger.Level.INFO,
+			"A job is refused, as its client account cancelled it before it arrived.",
+			"Nothing to do; to run the job, submit it under another id."),
+
+	/** Old cancellations of unknown jobs are removed. */
+	FLEET_CANCELLATIONS_FORGOTTEN(6045, System.Logger.Level.INFO,
+			"Cancellations of unknown jobs that were recorded long ago are removed.", "Nothing to do.");
 
 	private final int number;
 
