Move the refusals of jobs out of the fleet scheduler

JobRefusals records the refusals of jobs and of cancellations and tells when callers may come back; the scheduler hands it out as it does EvacuationOrders. No change of behaviour: the tests of fleet, fleetd and platform pass.

--- a/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
+++ b/fleet/src/main/java/io/verbenatrack/fleet/policy/FleetScheduler.java
@@ -18,13 +18,11 @@
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
-import io.verbenatrack.fleet.state.Cancellation;
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.fleet.state.JobState;
 import io.verbenatrack.fleet.state.StepState;
 import io.verbenatrack.fleet.state.TaskState;
-import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.GrantedTime;
 import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.WorkerId;
@@ -47,12 +45,6 @@
 	 */
 	private static final int MAX_LISTED_ENDS = 500;
 
-	/** Time for a command that removes ended jobs. */
-	private static final Duration MIN_ROOM_RETRY = Duration.ofSeconds(1);
-
-	/** Other jobs may end, or be cancelled, sooner than is known. */
-	private static final Duration MAX_ROOM_RETRY = Duration.ofSeconds(30);
-
 	private final FleetState state;
 
 	private final FleetTimings timings;
@@ -340,47 +332,11 @@
 	}
 
 	/**
-	 * Records that a job is refused, as the replicas lack the memory for it.
-	 * @param job the job
-	 * @param account its client account
-	 * @param bytes the memory that it may take
-	 * @param maxBytes the maximum for all accounts
-	 * @param now the time
-	 * @return when the caller should retry, in milliseconds from now
-	 */
-	public long refuseJob(JobId job, AccountId account, long bytes, long maxBytes, GrantedTime now) {
-		long retryMillis = roomRetryMillis(this.retention.untilNext(now.nanos()));
-		this.events.add(new FleetEvent.JobRefused(job, account, bytes,
-				this.state.bytesByAccount().getOrDefault(account, 0L), maxBytes, retryMillis));
-		return retryMillis;
-	}
-
-	private static long roomRetryMillis(Optional<Duration> untilRoom) {
-		return Math.clamp(untilRoom.orElse(MAX_ROOM_RETRY).toMillis(), MIN_ROOM_RETRY.toMillis(),
-				MAX_ROOM_RETRY.toMillis());
-	}
-
-	/**
-	 * Records that the cancellation of an unknown job is refused, as its client account
-	 * has no room for it.
-	 * @param cancellation the cancellation
-	 * @param maxBytes the room of the account in bytes
-	 * @param now the time
-	 * @return when the caller should retry, in milliseconds from now
-	 */
-	public long refuseCancellation(Cancellation cancellation, long maxBytes, GrantedTime now) {
-		long retryMillis = roomRetryMillis(this.cancellationRetention.untilNext(now.nanos()));
-		this.events.add(new FleetEvent.CancellationRefused(cancellation,
-				this.state.cancellations().bytes(cancellation.account()), maxBytes, retryMillis));
-		return retryMillis;
-	}
-
-	/**
-	 * Records that a job is refused, as its account has cancelled it before.
-	 * @param cancellation the cancellation of the job
+	 * Returns the refusals of jobs and of their cancellations.
+	 * @return the refusals, which are recorded as events of this scheduler
 	 */
-	public void refuseCancelledJob(Cancellation cancellation) {
-		this.events.add(new FleetEvent.CancelledJobRefused(cancellation));
+	public JobRefusals jobRefusals() {
+		return new JobRefusals(this.state, this.retention, this.cancellationRetention, this.events::add);
 	}
 
 	/**
--- a/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
+++ b/fleetd/src/main/java/io/verbenatrack/fleetd/CallDecider.java
@@ -17,6 +17,7 @@
 import io.verbenatrack.fleet.model.WorkerReport;
 import io.verbenatrack.fleet.policy.FleetScheduler;
 import io.verbenatrack.fleet.policy.JobAdmission;
+import io.verbenatrack.fleet.policy.JobRefusals;
 import io.verbenatrack.fleet.policy.ReportCheck;
 import io.verbenatrack.fleet.state.Cancellation;
 import io.verbenatrack.fleet.state.FleetCommand;
@@ -56,6 +57,8 @@
 
 	private final EvacuationDecider evacuations;
 
+	private final JobRefusals refusals;
+
 	/** The memory of the jobs that this turn accepts, in bytes. */
 	private final Map<AccountId, Long> acceptedBytes = new HashMap<>();
 
@@ -68,6 +71,7 @@
 		this.state = state;
 		this.admission = admission;
 		this.evacuations = evacuations;
+		this.refusals = scheduler.jobRefusals();
 		this.nowMillis = nowMillis;
 	}
 
@@ -135,12 +139,12 @@
 	}
 
 	private FleetReply refuseCancelled(JobPath path) {
-		this.scheduler.refuseCancelledJob(path.cancellation());
+		this.refusals.refuseCancelledJob(path.cancellation());
 		return new FleetReply.JobCancelled();
 	}
 
 	private FleetReply noMemory(JobPath path, long bytes, GrantedTime arrived) {
-		long retryMillis = this.scheduler.refuseJob(path.jobId(), path.account(), bytes, this.admission.maxBytes(),
+		long retryMillis = this.refusals.refuseJob(path.jobId(), path.account(), bytes, this.admission.maxBytes(),
 				arrived);
 		return new FleetReply.Refused(
 				new Problem(ProblemKind.OVERLOADED, "The jobs of the client account take too much memory.",
@@ -199,7 +203,7 @@
 	}
 
 	private FleetReply noRoomToCancel(Cancellation cancellation, GrantedTime arrived) {
-		long retryMillis = this.scheduler.refuseCancellation(cancellation,
+		long retryMillis = this.refusals.refuseCancellation(cancellation,
 				this.admission.maxCancellationBytes(this.state), arrived);
 		return new FleetReply.Refused(new Problem(ProblemKind.OVERLOADED,
 				"The client account has cancelled too many unknown jobs, so this cancellation is not recorded.",
