--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelFleet.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelFleet.java
@@ -3,9 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -13,9 +11,7 @@
 
 import io.verbenatrack.fleet.Fixtures;
 import io.verbenatrack.fleet.model.HeartbeatResponse;
-import io.verbenatrack.fleet.model.JobPlan;
 import io.verbenatrack.fleet.model.RunOutcome;
-import io.verbenatrack.fleet.model.StepSpec;
 import io.verbenatrack.fleet.model.TaskId;
 import io.verbenatrack.fleet.model.WorkerIncarnation;
 import io.verbenatrack.fleet.model.WorkerReport;
@@ -23,9 +19,7 @@
 import io.verbenatrack.fleet.state.FleetCommand;
 import io.verbenatrack.fleet.state.FleetState;
 import io.verbenatrack.fleet.state.JobState;
-import io.verbenatrack.model.AccountId;
 import io.verbenatrack.model.GrantedTime;
-import io.verbenatrack.model.JobId;
 import io.verbenatrack.model.WorkerId;
 
 /**
@@ -43,8 +37,6 @@
 
 	private static final long FAULTY_MILLIS = 30_000;
 
-	private static final long LAST_JOB_MILLIS = 20_000;
-
 	/** Enough for every accepted job to end once there are no more faults. */
 	private static final long END_MILLIS = 75_000;
 
@@ -65,8 +57,6 @@
 
 	private static final int WORKERS = 5;
 
-	private static final int JOBS = 40;
-
 	/** Workers report at most this many ends at once. */
 	private static final int LISTED_ENDS = 500;
 
@@ -86,7 +76,7 @@
 
 	private final List<Call> queued = new ArrayList<>();
 
-	private final Map<JobId, JobPlan> plans = new HashMap<>();
+	private final ModelJobs jobs;
 
 	private final ModelClock clock;
 
@@ -140,6 +130,8 @@
 		this.births = new ModelBirths(this.random);
 		this.intruder = new ModelIntruder(this.random);
 		this.operators = operators(operators);
+		this.jobs = new ModelJobs(this.random, this::now, this::at,
+				(command) -> leads() && commit(List.of(command), false));
 		this.endMillis = (operators == ModelOperators.Kind.CONFIGURATIONS) ? END_OF_TWO_SERVICES_MILLIS : END_MILLIS;
 		this.faultRate = 1 + 6 * this.random.nextDouble();
 		this.clock = new ModelClock(this.random);
@@ -163,6 +155,10 @@
 		return this.checker;
 	}
 
+	ModelJobs jobs() {
+		return this.jobs;
+	}
+
 	ModelOperators operators() {
 		return this.operators;
 	}
@@ -179,11 +175,7 @@
 		for (int worker = 0; worker < WORKERS; worker++) {
 			addWorker("worker-" + worker, "address-" + worker);
 		}
-		for (int job = 1; job <= JOBS; job++) {
-			JobId id = Fixtures.job(job);
-			boolean urgent = chance(0.3);
-			at(this.random.nextLong(LAST_JOB_MILLIS), () -> submit(id, urgent));
-		}
+		this.jobs.submitAll();
 		while (this.nowMillis < this.endMillis && !settled()) {
 			this.nowMillis += TICK_MILLIS;
 			this.clock.advance(TICK_MILLIS, this.nowMillis < this.suspendedUntilMillis);
@@ -220,7 +212,7 @@
 
 	// Whether every job and every message has long been dealt with.
 	private boolean settled() {
-		return this.nowMillis > FAULTY_MILLIS && this.state.unfinishedJobs().isEmpty() && this.plans.size() == JOBS
+		return this.nowMillis > FAULTY_MILLIS && this.state.unfinishedJobs().isEmpty() && this.jobs.allSubmitted()
 				&& this.workers.stream().allMatch(ModelWorker::settled);
 	}
 
@@ -241,60 +233,13 @@
 		this.checker.note("worker " + incarnation + " at " + address);
 	}
 
-	private void submit(JobId job, boolean urgent) {
-		if (this.plans.containsKey(job)) {
-			return;
-		}
-		List<StepSpec> steps = new ArrayList<>();
-		boolean gang = chance(0.35);
-		steps.add(Fixtures.step(1 + this.random.nextInt(4), gang ? 4 : 1 + this.random.nextInt(4), gang));
-		if (chance(0.4)) {
-			steps.add(Fixtures.step(1 + this.random.nextInt(3), 2, false, 0));
-		}
-		JobPlan plan = Fixtures.plan(steps.toArray(StepSpec[]::new));
-		if (!leads() || !commit(List.of(new FleetCommand.AcceptJob(job, urgent ? "urgent" : "batch",
-				new AccountId("account"), plan, this.nowMillis)), false)) {
-			at(this.nowMillis + 300, () -> submit(job, urgent));
-			return;
-		}
-		this.plans.put(job, plan);
-		if (chance(0.1)) {
-			at(this.nowMillis + this.random.nextLong(6000), () -> cancel(job));
-		}
-	}
-
-	private void cancel(JobId job) {
-		if (!leads() || !commit(List.of(new FleetCommand.CancelJob(job)), false)) {
-			at(this.nowMillis + 300, () -> cancel(job));
-		}
-	}
-
-	StepSpec spec(TaskId task) {
-		return this.plans.get(task.job()).steps().get(task.step());
-	}
-
-	/**
-	 * Returns the tasks that must be done before a task may start.
-	 * @param task the task
-	 * @return the tasks of the steps that come first
-	 */
-	List<TaskId> dependencies(TaskId task) {
-		List<TaskId> dependencies = new ArrayList<>();
-		for (int step : spec(task).after()) {
-			for (int index = 0; index < this.plans.get(task.job()).steps().get(step).count(); index++) {
-				dependencies.add(new TaskId(task.job(), task.occurrence(), step, index));
-			}
-		}
-		return dependencies;
-	}
-
 	long workMillis() {
 		return MIN_WORK_MILLIS + this.random.nextLong(MAX_WORK_MILLIS - MIN_WORK_MILLIS);
 	}
 
 	List<ModelWorker.Run> gangMembers(TaskId task, int number) {
 		List<ModelWorker.Run> members = new ArrayList<>();
-		for (int index = 0; index < spec(task).count(); index++) {
+		for (int index = 0; index < this.jobs.spec(task).count(); index++) {
 			for (ModelWorker worker : this.workers) {
 				ModelWorker.Run run = worker.up ? worker.runOf(task.member(index)) : null;
 				if (run != null && run.number == number) {
@@ -306,7 +251,7 @@
 	}
 
 	void endOfMember(TaskId task, int number, RunOutcome how) {
-		for (int index = 0; index < spec(task).count(); index++) {
+		for (int index = 0; index < this.jobs.spec(task).count(); index++) {
 			TaskId member = task.member(index);
 			for (ModelWorker worker : this.workers) {
 				if (!member.equals(task)) {
--- a/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelWorker.java
+++ b/fleet/src/test/java/io/verbenatrack/fleet/policy/ModelWorker.java
@@ -209,22 +209,22 @@
 			addEnd(task, number, RunOutcome.REFUSED);
 			return;
 		}
-		StepSpec spec = this.fleet.spec(task);
+		StepSpec spec = this.fleet.jobs().spec(task);
 		Run run = new Run(this, number, this.clock.getAsLong(), spec.gang());
 		if (!spec.gang()) {
 			run.begin(this.fleet.workMillis(), this.random.nextInt(FAILING_RUNS_OF_ALL) == 0);
 		}
 		this.running.put(task, run);
 		this.fleet.operators().began(task, this, this.clock.getAsLong());
-		this.fleet.checker().started(task, number, this, this.fleet.dependencies(task));
+		this.fleet.checker().started(task, number, this, this.fleet.jobs().dependencies(task));
 	}
 
 	private boolean hasRoomFor(TaskId task) {
 		int used = this.running.keySet()
 			.stream()
-			.mapToInt((other) -> this.fleet.spec(other).room().accelerators())
+			.mapToInt((other) -> this.fleet.jobs().spec(other).room().accelerators())
 			.sum();
-		return used + this.fleet.spec(task).room().accelerators() <= Fixtures.WORKER_ROOM.accelerators();
+		return used + this.fleet.jobs().spec(task).room().accelerators() <= Fixtures.WORKER_ROOM.accelerators();
 	}
 
 	/**
@@ -259,7 +259,7 @@
 
 	private void waitForGang(TaskId task, Run run, long now) {
 		List<Run> members = this.fleet.gangMembers(task, run.number);
-		if (members.size() == this.fleet.spec(task).count()) {
+		if (members.size() == this.fleet.jobs().spec(task).count()) {
 			boolean fails = this.random.nextInt(FAILING_RUNS_OF_ALL) == 0;
 			long work = this.fleet.workMillis();
 			members.forEach((member) -> {
